Add the transport module: HTTP server and client

Cause: routers, stand-ins and tools need one bounded HTTP layer that tells in which phase an exchange failed. Ruled out: aggregate request types. GCC 12 copies aggregate temporaries inside co_await byte by byte (double free seen under the address sanitizer), so these types have constructors.

--- /dev/null
+++ b/src/transport/http_client.h
@@ -0,0 +1,75 @@
+#ifndef TRANSPORT_HTTP_CLIENT_H_
+#define TRANSPORT_HTTP_CLIENT_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <string>
+
+#include "transport/transport_types.h"
+
+namespace geraniumspread::transport {
+
+namespace detail {
+struct PoolState;
+struct Connection;
+}  // namespace detail
+
+// Whether an exchange may use a connection that has served another one before.
+enum class ConnectionPolicy : std::uint8_t {
+  kReuse,
+  // For non-repeatable requests and after a silent connection: an idle
+  // connection may have been closed by the other end while the request was on
+  // its way, and then nobody knows whether it ran.
+  kFresh,
+};
+
+// Keeps idle connections by endpoint. A connection is kept only when its last
+// answer was read to its end and nothing came after it.
+class HttpConnectionPool {
+ public:
+  explicit HttpConnectionPool(boost::asio::any_io_executor executor);
+
+  std::size_t IdleConnections() const;
+  void CloseIdle();
+
+ private:
+  friend class HttpExchange;
+  std::shared_ptr<detail::PoolState> state;
+};
+
+// One request and its answer on one connection.
+class HttpExchange {
+ public:
+  HttpExchange(HttpConnectionPool& pool, Endpoint endpoint, ExchangeTimeouts timeouts);
+  HttpExchange(const HttpExchange&) = delete;
+  HttpExchange& operator=(const HttpExchange&) = delete;
+  // An exchange that is not complete closes its connection.
+  ~HttpExchange();
+
+  // Sends the request and reads the head of the answer (its body is empty).
+  boost::asio::awaitable<Result<HttpResponse>> Start(HttpRequest request, ConnectionPolicy policy);
+  // The next piece of the body; empty at its end.
+  boost::asio::awaitable<Result<std::string>> ReadSome();
+  // The rest of the body, at most `max_bytes`.
+  boost::asio::awaitable<Result<std::string>> ReadAll(std::size_t max_bytes);
+
+  // Closes the connection; a waiting call returns kCancelled.
+  void Cancel();
+  ExchangePhase Phase() const;
+  bool UsedPooledConnection() const;
+
+ private:
+  std::shared_ptr<detail::Connection> connection;
+};
+
+// Sends a request and reads the whole answer.
+boost::asio::awaitable<Result<HttpResponse>> Fetch(HttpConnectionPool& pool,
+                                                   Endpoint endpoint,
+                                                   HttpRequest request,
+                                                   ExchangeTimeouts timeouts,
+                                                   std::size_t max_body_bytes);
+
+}  // namespace geraniumspread::transport
+
+#endif  // TRANSPORT_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/transport/internal/http_client.cc
@@ -0,0 +1,331 @@
+#include "transport/http_client.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+
+#include "transport/internal/http_common.h"
+
+namespace geraniumspread::transport {
+namespace detail {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadChunkBytes = 16 * 1024;
+constexpr std::uint32_t kMaxResponseHeaderBytes = 32 * 1024;
+// Shorter than the idle timeout of usual servers, so that they rarely close first.
+constexpr Duration kMaxIdleTime = std::chrono::seconds(20);
+constexpr std::size_t kMaxIdlePerEndpoint = 64;
+
+struct IdleConnection {
+  Endpoint endpoint;
+  Tcp::socket socket;
+  TimePoint idle_since;
+};
+
+// A healthy idle connection is open and has nothing to read.
+bool IsQuiet(Tcp::socket& socket) {
+  char byte = 0;
+  error_code error;
+  socket.non_blocking(true, error);
+  socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+}  // namespace
+
+struct PoolState {
+  asio::any_io_executor executor;
+  std::vector<IdleConnection> idle;
+
+  std::optional<Tcp::socket> Take(const Endpoint& endpoint) {
+    const TimePoint now = RuntimeClock::now();
+    std::erase_if(this->idle, [now](const IdleConnection& connection) {
+      return now - connection.idle_since > kMaxIdleTime;
+    });
+    for (std::size_t index = this->idle.size(); index-- > 0;) {
+      if (this->idle[index].endpoint != endpoint) {
+        continue;
+      }
+      Tcp::socket socket = std::move(this->idle[index].socket);
+      this->idle.erase(this->idle.begin() + static_cast<std::ptrdiff_t>(index));
+      if (IsQuiet(socket)) {
+        return socket;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Put(const Endpoint& endpoint, Tcp::socket socket) {
+    const auto same_endpoint = std::ranges::count_if(
+        this->idle,
+        [&](const IdleConnection& connection) { return connection.endpoint == endpoint; });
+    if (static_cast<std::size_t>(same_endpoint) < kMaxIdlePerEndpoint && IsQuiet(socket)) {
+      this->idle.push_back({endpoint, std::move(socket), RuntimeClock::now()});
+    }
+  }
+};
+
+struct Connection {
+  Connection(std::shared_ptr<PoolState> pool_state, Endpoint peer, ExchangeTimeouts phase_timeouts)
+      : pool(std::move(pool_state)),
+        endpoint(std::move(peer)),
+        timeouts(phase_timeouts),
+        socket(pool->executor),
+        deadline(pool->executor, socket) {}
+
+  std::shared_ptr<PoolState> pool;
+  Endpoint endpoint;
+  ExchangeTimeouts timeouts;
+  Tcp::socket socket;
+  Deadline deadline;
+  boost::beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  ExchangePhase phase = ExchangePhase::kNotStarted;
+  bool pooled = false;
+  bool cancelled = false;
+  bool is_head = false;
+
+  void Close() {
+    error_code ignored;
+    this->socket.close(ignored);
+  }
+
+  TransportError Failure(const error_code& error) {
+    const ExchangePhase failed_phase = this->phase;
+    const bool expired = this->deadline.Expired();
+    this->deadline.Disarm();
+    this->Close();
+    TransportErrorCode code = TransportErrorCode::kConnectionClosed;
+    if (this->cancelled) {
+      code = TransportErrorCode::kCancelled;
+    } else if (expired) {
+      code = TransportErrorCode::kTimedOut;
+    } else if (failed_phase == ExchangePhase::kConnecting) {
+      code = TransportErrorCode::kConnectFailed;
+    } else if (error == http::error::header_limit || error == http::error::body_limit) {
+      code = TransportErrorCode::kMessageTooLarge;
+    } else if (error.category() == make_error_code(http::error::bad_method).category() &&
+               error != http::error::end_of_stream && error != http::error::partial_message) {
+      code = TransportErrorCode::kMalformedMessage;
+    }
+    return {code, failed_phase,
+            ToString(this->endpoint) + ": " + std::string(ToString(code)) + " while " +
+                std::string(ToString(failed_phase)) + " (" + error.message() + ")"};
+  }
+
+  // Keeps the connection for another exchange when nothing is left on it.
+  void Release() {
+    this->phase = ExchangePhase::kComplete;
+    this->deadline.Disarm();
+    if (this->parser->get().keep_alive() && this->buffer.size() == 0 && this->socket.is_open()) {
+      this->pool->Put(this->endpoint, std::move(this->socket));
+    } else {
+      this->Close();
+    }
+  }
+};
+
+namespace {
+
+asio::awaitable<std::optional<TransportError>> Connect(std::shared_ptr<Connection> connection,
+                                                       ConnectionPolicy policy) {
+  connection->phase = ExchangePhase::kConnecting;
+  if (policy == ConnectionPolicy::kReuse) {
+    if (auto socket = connection->pool->Take(connection->endpoint); socket) {
+      connection->socket = std::move(*socket);
+      connection->pooled = true;
+      co_return std::nullopt;
+    }
+  }
+  error_code error;
+  const auto address = asio::ip::make_address(connection->endpoint.address, error);
+  if (!error) {
+    connection->deadline.Arm(connection->timeouts.connect);
+    std::tie(error) = co_await connection->socket.async_connect(
+        Tcp::endpoint(address, connection->endpoint.port), kAwaitTuple);
+  }
+  if (error || connection->cancelled || connection->deadline.Expired()) {
+    co_return connection->Failure(error);
+  }
+  connection->deadline.Disarm();
+  connection->socket.set_option(Tcp::no_delay(true), error);
+  co_return std::nullopt;
+}
+
+http::request<http::string_body> BuildMessage(const Endpoint& endpoint, HttpRequest request) {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, ToString(endpoint));
+  for (const HttpHeader& header : request.headers) {
+    if (!IsFramingHeader(header.name)) {
+      message.set(header.name, header.value);
+    }
+  }
+  message.body() = std::move(request.body);
+  message.keep_alive(true);
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+}  // namespace detail
+
+namespace {
+namespace http = boost::beast::http;
+}  // namespace
+
+HttpConnectionPool::HttpConnectionPool(boost::asio::any_io_executor executor)
+    : state(std::make_shared<detail::PoolState>()) {
+  this->state->executor = std::move(executor);
+}
+
+std::size_t HttpConnectionPool::IdleConnections() const {
+  return this->state->idle.size();
+}
+
+void HttpConnectionPool::CloseIdle() {
+  this->state->idle.clear();
+}
+
+HttpExchange::HttpExchange(HttpConnectionPool& pool, Endpoint endpoint, ExchangeTimeouts timeouts)
+    : connection(std::make_shared<detail::Connection>(pool.state, std::move(endpoint), timeouts)) {}
+
+HttpExchange::~HttpExchange() {
+  this->Cancel();
+}
+
+void HttpExchange::Cancel() {
+  if (this->connection->phase != ExchangePhase::kComplete) {
+    this->connection->cancelled = true;
+    this->connection->deadline.Disarm();
+    this->connection->Close();
+  }
+}
+
+ExchangePhase HttpExchange::Phase() const {
+  return this->connection->phase;
+}
+
+bool HttpExchange::UsedPooledConnection() const {
+  return this->connection->pooled;
+}
+
+boost::asio::awaitable<Result<HttpResponse>> HttpExchange::Start(HttpRequest request,
+                                                                 ConnectionPolicy policy) {
+  // The coroutine keeps the connection, since Cancel may come from the destructor.
+  const std::shared_ptr<detail::Connection> current = this->connection;
+  current->is_head = request.method == "HEAD";
+  if (auto failure = co_await detail::Connect(current, policy); failure) {
+    co_return std::move(*failure);
+  }
+  const auto message = detail::BuildMessage(current->endpoint, std::move(request));
+  current->phase = ExchangePhase::kWritingRequest;
+  current->deadline.Arm(current->timeouts.write);
+  const auto [write_error, written] =
+      co_await http::async_write(current->socket, message, detail::kAwaitTuple);
+  if (write_error) {
+    co_return current->Failure(write_error);
+  }
+  current->phase = ExchangePhase::kWaitingForResponse;
+  current->deadline.Arm(current->timeouts.first_byte);
+  current->parser.emplace();
+  current->parser->header_limit(detail::kMaxResponseHeaderBytes);
+  current->parser->body_limit(boost::none);
+  current->parser->skip(current->is_head);
+  const auto [read_error, read] = co_await http::async_read_header(
+      current->socket, current->buffer, *current->parser, detail::kAwaitTuple);
+  if (read_error) {
+    co_return current->Failure(read_error);
+  }
+  current->deadline.Disarm();
+  current->phase = ExchangePhase::kReadingBody;
+  HttpResponse response;
+  response.status = static_cast<int>(current->parser->get().result_int());
+  response.headers = detail::CopyHeaders(current->parser->get());
+  if (current->parser->is_done()) {
+    current->Release();
+  }
+  co_return response;
+}
+
+boost::asio::awaitable<Result<std::string>> HttpExchange::ReadSome() {
+  const std::shared_ptr<detail::Connection> current = this->connection;
+  std::string chunk;
+  while (current->phase == ExchangePhase::kReadingBody && chunk.empty()) {
+    chunk.resize(detail::kReadChunkBytes);
+    auto& body = current->parser->get().body();
+    body.data = chunk.data();
+    body.size = chunk.size();
+    body.more = true;
+    current->deadline.Arm(current->timeouts.between_bytes);
+    auto [error, bytes] = co_await http::async_read_some(current->socket, current->buffer,
+                                                         *current->parser, detail::kAwaitTuple);
+    if (error == http::error::need_buffer) {
+      error = {};
+    }
+    if (error) {
+      co_return current->Failure(error);
+    }
+    current->deadline.Disarm();
+    chunk.resize(detail::kReadChunkBytes - current->parser->get().body().size);
+    if (current->parser->is_done()) {
+      current->Release();
+    }
+  }
+  if (current->phase != ExchangePhase::kComplete && chunk.empty()) {
+    co_return current->Failure(boost::asio::error::operation_aborted);
+  }
+  co_return chunk;
+}
+
+boost::asio::awaitable<Result<std::string>> HttpExchange::ReadAll(std::size_t max_bytes) {
+  std::string body;
+  while (true) {
+    Result<std::string> chunk = co_await this->ReadSome();
+    if (!chunk) {
+      co_return std::move(chunk).error();
+    }
+    if (chunk.value().empty()) {
+      co_return body;
+    }
+    body += chunk.value();
+    if (body.size() > max_bytes) {
+      this->Cancel();
+      co_return TransportError{TransportErrorCode::kMessageTooLarge, ExchangePhase::kReadingBody,
+                               "the answer is larger than the limit"};
+    }
+  }
+}
+
+boost::asio::awaitable<Result<HttpResponse>> Fetch(HttpConnectionPool& pool,
+                                                   Endpoint endpoint,
+                                                   HttpRequest request,
+                                                   ExchangeTimeouts timeouts,
+                                                   std::size_t max_body_bytes) {
+  HttpExchange exchange(pool, std::move(endpoint), timeouts);
+  Result<HttpResponse> response =
+      co_await exchange.Start(std::move(request), ConnectionPolicy::kReuse);
+  if (!response) {
+    co_return response;
+  }
+  Result<std::string> body = co_await exchange.ReadAll(max_body_bytes);
+  if (!body) {
+    co_return std::move(body).error();
+  }
+  response.value().body = std::move(body).value();
+  co_return response;
+}
+
+}  // namespace geraniumspread::transport
--- /dev/null
+++ b/src/transport/tests/http_test.cc
@@ -0,0 +1,189 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "transport/error_response.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/internal/http_common.h"
+
+namespace geraniumspread::transport {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kMaxBody = 1 << 20;
+
+// One server and one client on one event loop.
+struct Fixture {
+  asio::io_context io;
+  HttpConnectionPool pool{io.get_executor()};
+  Endpoint endpoint{"127.0.0.1", 0};
+  std::optional<HttpServer> server;
+
+  void Serve(HttpHandler handler, ServerLimits limits = {}) {
+    this->server.emplace(this->io.get_executor(), limits, std::move(handler));
+    this->endpoint.port = this->server->Listen(this->endpoint).value();
+  }
+
+  void Run(asio::awaitable<void> client) {
+    asio::co_spawn(this->io, std::move(client), [this](const std::exception_ptr& error) {
+      this->io.stop();
+      if (error) {
+        std::rethrow_exception(error);
+      }
+    });
+    this->io.run();
+  }
+};
+
+asio::awaitable<void> Echo(HttpRequest request, HttpResponder& responder) {
+  HttpResponse response;
+  SetHeader(response.headers, "X-Target", request.target);
+  response.body = std::move(request.body);
+  co_await responder.Send(std::move(response));
+}
+
+// Answers every connection with fixed bytes, then closes it.
+asio::awaitable<void> ServeBytes(asio::ip::tcp::acceptor& acceptor, std::string bytes) {
+  while (true) {
+    auto [error, socket] = co_await acceptor.async_accept(detail::kAwaitTuple);
+    if (error) {
+      co_return;
+    }
+    std::array<char, 4096> request{};
+    co_await socket.async_read_some(asio::buffer(request), detail::kAwaitTuple);
+    co_await asio::async_write(socket, asio::buffer(bytes), detail::kAwaitTuple);
+  }
+}
+
+// Guards against answers that reach the wrong exchange or lose bytes on a reused connection.
+BOOST_FIXTURE_TEST_CASE(ReusesConnectionAndMatchesAnswers, Fixture) {
+  this->Serve(Echo);
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    for (int index = 0; index < 20; ++index) {
+      const std::string body(static_cast<std::size_t>(index) * 1000, 'x');
+      const auto response =
+          co_await Fetch(fixture.pool, fixture.endpoint,
+                         HttpRequest("POST", "/" + std::to_string(index), HttpHeaders{}, body),
+                         ExchangeTimeouts{}, kMaxBody);
+      BOOST_REQUIRE(response.has_value());
+      BOOST_TEST(response.value().body == body);
+      BOOST_TEST(FindHeader(response.value().headers, "x-target") == "/" + std::to_string(index));
+      BOOST_TEST(fixture.pool.IdleConnections() == 1U);
+    }
+  }(*this));
+}
+
+// Guards against a stream whose end is lost being taken for a whole answer.
+BOOST_FIXTURE_TEST_CASE(UnfinishedStreamIsAnError, Fixture) {
+  this->Serve([](HttpRequest request, HttpResponder& responder) -> asio::awaitable<void> {
+    co_await responder.StartStream(200, HttpHeaders{});
+    co_await responder.Write("part");
+    if (request.target == "/whole") {
+      co_await responder.Finish();
+    }
+  });
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    const auto whole = co_await Fetch(fixture.pool, fixture.endpoint, HttpRequest("GET", "/whole"),
+                                      ExchangeTimeouts{}, kMaxBody);
+    BOOST_REQUIRE(whole.has_value());
+    BOOST_TEST(whole.value().body == "part");
+    const auto cut = co_await Fetch(fixture.pool, fixture.endpoint, HttpRequest("GET", "/cut"),
+                                    ExchangeTimeouts{}, kMaxBody);
+    BOOST_REQUIRE(!cut.has_value());
+    BOOST_TEST((cut.error().code == TransportErrorCode::kConnectionClosed));
+    BOOST_TEST((cut.error().phase == ExchangePhase::kReadingBody));
+  }(*this));
+}
+
+// Guards against a short body passed on as complete, and against reuse of a
+// connection with bytes left over from an earlier answer.
+BOOST_FIXTURE_TEST_CASE(ShortAndOverlongAnswersAreDetected, Fixture) {
+  asio::ip::tcp::acceptor acceptor(this->io, {asio::ip::make_address("127.0.0.1"), 0});
+  this->endpoint.port = acceptor.local_endpoint().port();
+  const auto fetch = [this](asio::ip::tcp::acceptor& listener,
+                            std::string bytes) -> asio::awaitable<Result<HttpResponse>> {
+    asio::co_spawn(this->io, ServeBytes(listener, std::move(bytes)), asio::detached);
+    auto response =
+        co_await Fetch(this->pool, this->endpoint, HttpRequest{}, ExchangeTimeouts{}, kMaxBody);
+    listener.cancel();
+    co_return response;
+  };
+  this->Run([](auto& fetch_bytes, auto& listener, Fixture& fixture) -> asio::awaitable<void> {
+    const auto cut =
+        co_await fetch_bytes(listener, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    BOOST_TEST(!cut.has_value());
+    const auto extra =
+        co_await fetch_bytes(listener, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfourEXTRA");
+    BOOST_REQUIRE(extra.has_value());
+    BOOST_TEST(extra.value().body == "four");
+    BOOST_TEST(fixture.pool.IdleConnections() == 0U);
+    const auto garbage = co_await fetch_bytes(listener, "not http at all\r\n\r\n");
+    BOOST_REQUIRE(!garbage.has_value());
+    BOOST_TEST((garbage.error().code == TransportErrorCode::kMalformedMessage));
+  }(fetch, acceptor, *this));
+}
+
+// Guards against a refusal that claims "not run" after bytes have left: a failed
+// connect and a silent peer must be told apart by the phase.
+BOOST_FIXTURE_TEST_CASE(PhaseTellsWhetherBytesLeft, Fixture) {
+  this->Serve([](HttpRequest, HttpResponder& responder) -> asio::awaitable<void> {
+    detail::Timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(std::chrono::seconds(30));
+    bool gone = false;
+    responder.OnDisconnect([&] {
+      gone = true;
+      timer.cancel();
+    });
+    co_await timer.async_wait(detail::kAwaitTuple);
+    BOOST_TEST(gone);
+  });
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    const ExchangeTimeouts timeouts{.first_byte = std::chrono::milliseconds(50)};
+    const auto silent =
+        co_await Fetch(fixture.pool, fixture.endpoint, HttpRequest{}, timeouts, kMaxBody);
+    BOOST_REQUIRE(!silent.has_value());
+    BOOST_TEST((silent.error().code == TransportErrorCode::kTimedOut));
+    BOOST_TEST((silent.error().phase == ExchangePhase::kWaitingForResponse));
+    const Endpoint closed{"127.0.0.1", 1};
+    const auto refused = co_await Fetch(fixture.pool, closed, HttpRequest{}, timeouts, kMaxBody);
+    BOOST_REQUIRE(!refused.has_value());
+    BOOST_TEST((refused.error().code == TransportErrorCode::kConnectFailed));
+    BOOST_TEST((refused.error().phase == ExchangePhase::kConnecting));
+  }(*this));
+}
+
+// Guards against unbounded memory: oversized and malformed requests get a clear error.
+BOOST_FIXTURE_TEST_CASE(OversizedRequestsAreRefused, Fixture) {
+  this->Serve(Echo, {.max_header_bytes = 2048, .max_body_bytes = 1024});
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    const auto large_body =
+        co_await Fetch(fixture.pool, fixture.endpoint,
+                       HttpRequest("POST", "/", HttpHeaders{}, std::string(2000, 'x')),
+                       ExchangeTimeouts{}, kMaxBody);
+    BOOST_REQUIRE(large_body.has_value());
+    BOOST_TEST(large_body.value().status == 413);
+    BOOST_TEST(FindHeader(large_body.value().headers, "X-Ran") == "no");
+    HttpRequest header_request = HttpRequest("GET", "/");
+    SetHeader(header_request.headers, "X-Large", std::string(4000, 'x'));
+    const auto large_header = co_await Fetch(fixture.pool, fixture.endpoint, header_request,
+                                             ExchangeTimeouts{}, kMaxBody);
+    BOOST_REQUIRE(large_header.has_value());
+    BOOST_TEST(large_header.value().status == 431);
+  }(*this));
+}
+
+// Guards against a second process that silently shares a port.
+BOOST_FIXTURE_TEST_CASE(ListenOnTakenPortFails, Fixture) {
+  this->Serve(Echo);
+  HttpServer second(this->io.get_executor(), {}, Echo);
+  const auto port = second.Listen(this->endpoint);
+  BOOST_REQUIRE(!port.has_value());
+  BOOST_TEST((port.error().code == TransportErrorCode::kAddressInUse));
+}
+
+}  // namespace
+}  // namespace geraniumspread::transport
