--- /dev/null
+++ b/src/observability/log.h
@@ -0,0 +1,31 @@
+#ifndef OBSERVABILITY_LOG_H_
+#define OBSERVABILITY_LOG_H_
+
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+// Logs as JSON lines: {"time", "level", "event", ...fields}. `event` is a
+// stable snake_case name that runbooks refer to.
+namespace geraniumspread::observability {
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarn, kError };
+
+struct LogOptions {
+  std::string level = "info";  // debug, info, warn, error
+  std::string file;            // empty: standard error
+  std::string instance;        // added to each line
+};
+
+using LogField = std::pair<std::string_view, boost::json::value>;
+
+// Sets up the logger of the process. Call once, before the first event.
+void InitializeLog(const LogOptions& options);
+void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+}  // namespace geraniumspread::observability
+
+#endif  // OBSERVABILITY_LOG_H_
