--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -22,7 +22,7 @@
 
 // Manifests that wait for shards at the same time. More than one is needed: the
 // shards of the highest version may never arrive, while a lower one completes.
-inline constexpr std::size_t kMaxCandidates = 4;
+inline constexpr std::size_t kMaxCandidates = 3;
 inline constexpr std::size_t kMaxRememberedRejections = 64;
 inline constexpr std::size_t kMaxAlarms = 16;
 
@@ -112,7 +112,8 @@
   std::shared_ptr<const Configuration> configuration;
   VersionDigest highest_heard;        // from peers
   std::vector<Candidate> candidates;  // by version, highest first
-  PartTable shards;                   // of the version in force and of the candidates
+  std::vector<Digest> shards_in_force;
+  PartTable shards;  // of the version in force and of the candidates
   std::vector<Rejection> rejections;
   std::vector<ConfigAlarm> alarms;
 };
