--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,145 @@
+#ifndef PLACEMENT_PLACEMENT_H_
+#define PLACEMENT_PLACEMENT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "common/runtime_clock.h"
+#include "placement/cold_start.h"
+#include "placement/exceptions_table.h"
+#include "placement/placement_types.h"
+
+// Choice of an upstream for a request: bounded-load rendezvous hashing with
+// cache affinity, failure domains and cold start (design page, 3.1).
+//
+// ChooseUpstream and the Note functions are the hot path and allocate nothing.
+// The other functions change the topology and may allocate.
+namespace geraniumspread::placement {
+
+struct UpstreamRow {
+  std::uint64_t hash = 0;
+  TimePoint refused_until = TimePoint::min();
+  std::int32_t capacity = 1;
+  // Requests that this router knows to be in flight there.
+  std::int32_t in_flight = 0;
+  PoolIndex pool = kNoPool;
+  DomainIndex domain = kNoDomain;
+  UpstreamState state = UpstreamState::kGone;
+  UpstreamKind kind = UpstreamKind::kModelEngine;
+};
+
+struct DomainRow {
+  std::string name;
+  bool in_service = true;
+  // When the domain came back into service; the ramp counts from here.
+  TimePoint returned_at = TimePoint::min();
+};
+
+// Usable upstreams of one pool in one domain with the same capacity, so that the
+// highest hash among them is also the highest weighted score.
+struct Segment {
+  DomainIndex domain = kNoDomain;
+  std::int32_t capacity = 1;
+  std::uint32_t begin = 0;  // into PoolRow::hashes and PoolRow::upstreams
+  std::uint32_t end = 0;
+};
+
+struct PoolRow {
+  std::string name;
+  std::vector<Segment> segments;
+  std::vector<std::uint64_t> hashes;
+  std::vector<UpstreamIndex> upstreams;
+  std::int64_t capacity = 0;             // of the usable upstreams
+  std::int64_t in_flight = 0;            // of this router's own rows
+  std::int64_t in_flight_elsewhere = 0;  // published by other owners
+};
+
+struct NameTable {
+  std::vector<std::string> names;
+  std::unordered_map<std::string, std::uint32_t> indexes;
+};
+
+struct PlacementState {
+  PlacementSettings settings;
+  PlacementPolicy policy;
+  NameTable upstream_names;
+  NameTable pool_names;
+  NameTable domain_names;
+  std::vector<UpstreamRow> upstreams;
+  std::vector<ColdStartState> cold_start;  // parallel to `upstreams`
+  std::vector<UpstreamIndex> free_upstreams;
+  std::vector<DomainRow> domains;
+  std::vector<PoolRow> pools;
+  ExceptionsTable exceptions;
+};
+
+PlacementState MakePlacementState(const PlacementSettings& settings, TimePoint now);
+
+// --- Topology (may allocate) ---
+
+// Adds the upstream as live, or updates it. A known name keeps its index.
+UpstreamIndex UpsertUpstream(PlacementState& state, const UpstreamInfo& info);
+// A leaving upstream gets no new work; a gone one frees its index.
+void SetUpstreamState(PlacementState& state, UpstreamIndex upstream, UpstreamState next);
+// Takes a failure domain out of service or starts its gradual return. A domain
+// that was never out is in service without a ramp.
+void SetDomainInService(PlacementState& state, DomainIndex domain, bool in_service, TimePoint now);
+// Each returns kNo... when the name is unknown.
+UpstreamIndex FindUpstream(const PlacementState& state, std::string_view name);
+PoolIndex FindPool(const PlacementState& state, std::string_view name);
+DomainIndex FindDomain(const PlacementState& state, std::string_view name);
+// Adds the domain when it is unknown.
+DomainIndex InternDomain(PlacementState& state, std::string_view name);
+std::string_view UpstreamName(const PlacementState& state, UpstreamIndex upstream);
+
+// --- Hot path (no allocation) ---
+
+// Picks an upstream. Errors: kUnknownPool, kNoUsableUpstream, kAllAtLimit. When
+// the chosen upstream's owner refuses, call NoteRefusal and choose again.
+Result<PlacementChoice> ChooseUpstream(const PlacementState& state,
+                                       const PlacementRequest& request,
+                                       TimePoint now);
+// Records that the request goes to `choice`, and the exception if there is one.
+void NotePlaced(PlacementState& state,
+                const PlacementRequest& request,
+                const PlacementChoice& choice,
+                TimePoint now);
+void NoteFinished(PlacementState& state, UpstreamIndex upstream);
+// `epoch` is the choice's cold_epoch.
+void NoteSuccess(PlacementState& state, UpstreamIndex upstream, std::uint32_t epoch);
+void NoteRefusal(PlacementState& state, UpstreamIndex upstream, TimePoint now);
+// Sum of the requests in flight that other owners published for the pool.
+void SetInFlightElsewhere(PlacementState& state, PoolIndex pool, std::int64_t in_flight);
+void NoteReport(PlacementState& state,
+                UpstreamIndex upstream,
+                const ColdStartReport& report,
+                TimePoint asked_at);
+// A hint only: late, with gaps and possibly wrong.
+void NoteCacheEvent(PlacementState& state,
+                    UpstreamIndex upstream,
+                    ChatKey chat,
+                    CacheEventKind kind,
+                    TimePoint now);
+// Turns upstreams without fresh reports cold. Run on each tick.
+void TickPlacement(PlacementState& state, TimePoint now);
+
+// The in-flight limit of an upstream over all routers: the cold limit while
+// cold, otherwise min(capacity, load bound).
+std::int32_t UpstreamLimit(const PlacementState& state, UpstreamIndex upstream);
+bool IsCold(const PlacementState& state, UpstreamIndex upstream);
+// Whether the owner may still dispatch there: live and its domain in service.
+bool AcceptsNewWork(const PlacementState& state, UpstreamIndex upstream);
+
+// --- Operators ---
+
+// Ranks all upstreams of the request's pool and says why each was passed over.
+std::vector<CandidateExplanation> ExplainChoice(const PlacementState& state,
+                                                const PlacementRequest& request,
+                                                TimePoint now);
+
+}  // namespace geraniumspread::placement
+
+#endif  // PLACEMENT_PLACEMENT_H_
