Add placement: bounded-load rendezvous choice, cold start, exceptions

Upstreams of a pool lie in segments of equal domain and capacity class, so a choice needs one logarithm per segment.

--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -75,6 +75,7 @@
 
 struct OwnedUpstream {
   UpstreamKey upstream{};
+  bool reports_load = true;
   bool candidate = false;
   std::vector<PromiseReceived> promises;
   TimePoint lease_until = TimePoint::min();
@@ -135,7 +136,9 @@
                 TimePoint now);
 
 // All upstreams of this router's failure domain.
-void SetUpstreams(OwnershipState& state, std::span<const UpstreamKey> upstreams, TimePoint now);
+void SetUpstreams(OwnershipState& state,
+                  std::span<const DomainUpstream> upstreams,
+                  TimePoint now);
 
 // The router that should own the upstream: the highest in a rendezvous hash.
 // `routers` must not be empty.
--- a/src/ownership/ownership_types.h
+++ b/src/ownership/ownership_types.h
@@ -51,6 +51,14 @@
   bool release_after_guard = true;  // a release waits until dispatched requests have arrived
 };
 
+// An upstream of the failure domain.
+struct DomainUpstream {
+  UpstreamKey upstream{};
+  // Model engines report their load. Without reports a new owner can't see what
+  // an earlier one left running, and dispatches as soon as it holds the lease.
+  bool reports_load = true;
+};
+
 // What one voter knows about a router that may be using its reserve.
 struct ReserveNote {
   RouterKey router{};
--- /dev/null
+++ b/src/placement/internal/placement.cc
@@ -0,0 +1,112 @@
+#include "placement/placement.h"
+
+#include "common/hash.h"
+#include "placement/internal/choice.h"
+#include "placement/internal/segments.h"
+
+namespace geraniumspread::placement {
+namespace {
+
+void ChangeInFlight(PlacementState& state, UpstreamIndex upstream, std::int32_t change) {
+  UpstreamRow& row = state.upstreams[upstream];
+  row.in_flight += change;
+  PoolRow& pool = state.pools[row.pool];
+  (row.owned ? pool.in_flight : pool.in_flight_not_owned) += change;
+}
+
+}  // namespace
+
+void NotePlaced(PlacementState& state,
+                const PlacementRequest& request,
+                const PlacementChoice& choice,
+                TimePoint now) {
+  ChangeInFlight(state, choice.upstream, 1);
+  if (choice.upstream == choice.first_choice) {
+    EraseException(state.exceptions, request.chat);
+  } else {
+    PutException(state.exceptions, request.chat, choice.upstream, now);
+  }
+}
+
+void NoteForwarded(PlacementState& state, UpstreamIndex upstream) {
+  ChangeInFlight(state, upstream, 1);
+}
+
+void NoteFinished(PlacementState& state, UpstreamIndex upstream) {
+  ChangeInFlight(state, upstream, -1);
+}
+
+void NoteSuccess(PlacementState& state, UpstreamIndex upstream, std::uint32_t epoch) {
+  NoteSuccess(state.cold_start[upstream], state.policy.cold_start, epoch);
+}
+
+void NoteRefusal(PlacementState& state, UpstreamIndex upstream, TimePoint now) {
+  if (state.policy.remember_refusals) {
+    state.upstreams[upstream].refused_until = now + state.settings.refusal_hold;
+  }
+}
+
+std::int64_t OwnedInFlight(const PlacementState& state, PoolIndex pool) {
+  return state.pools[pool].in_flight;
+}
+
+void SetInFlightElsewhere(PlacementState& state, PoolIndex pool, std::int64_t in_flight) {
+  state.pools[pool].in_flight_elsewhere = in_flight;
+}
+
+void NoteReport(PlacementState& state,
+                UpstreamIndex upstream,
+                const ColdStartReport& report,
+                TimePoint asked_at) {
+  ApplyReport(state.cold_start[upstream], state.settings.cold_start, report, asked_at);
+}
+
+void NoteCacheEvent(PlacementState& state,
+                    UpstreamIndex upstream,
+                    ChatKey chat,
+                    CacheEventKind kind,
+                    TimePoint now) {
+  const UpstreamIndex named =
+      FindException(state.exceptions, chat, state.settings.exception_hold, now);
+  if (kind == CacheEventKind::kEvicted) {
+    if (named == upstream) {
+      EraseException(state.exceptions, chat);
+    }
+    return;
+  }
+  // A newer placement by this router is better knowledge than a late event.
+  if (named != kNoUpstream) {
+    return;
+  }
+  const PlacementRequest request{.pool = state.upstreams[upstream].pool, .chat = chat};
+  const auto choice = ChooseUpstream(state, request, now);
+  if (choice && choice.value().first_choice != upstream) {
+    PutException(state.exceptions, chat, upstream, now);
+  }
+}
+
+void TickPlacement(PlacementState& state, TimePoint now) {
+  state.ticked_at = now;
+  for (UpstreamIndex upstream = 0; upstream < state.upstreams.size(); ++upstream) {
+    if (state.upstreams[upstream].owned) {
+      ExpireReport(state.cold_start[upstream], state.settings.cold_start, state.policy.cold_start,
+                   now);
+    }
+  }
+  detail::UpdateCapacity(state, now);
+}
+
+std::int32_t UpstreamLimit(const PlacementState& state, UpstreamIndex upstream) {
+  return detail::LimitOf(state, upstream).limit;
+}
+
+bool IsCold(const PlacementState& state, UpstreamIndex upstream) {
+  return detail::LimitOf(state, upstream).cold;
+}
+
+bool AcceptsNewWork(const PlacementState& state, UpstreamIndex upstream) {
+  const UpstreamRow& row = state.upstreams[upstream];
+  return row.state == UpstreamState::kLive && state.domains[row.domain].in_service;
+}
+
+}  // namespace geraniumspread::placement
--- /dev/null
+++ b/src/placement/internal/segments.h
@@ -0,0 +1,34 @@
+#ifndef PLACEMENT_INTERNAL_SEGMENTS_H_
+#define PLACEMENT_INTERNAL_SEGMENTS_H_
+
+#include <cstdint>
+
+#include "placement/placement.h"
+
+namespace geraniumspread::placement::detail {
+
+// Most segments of a pool; bounds the cursors that a choice keeps on its stack.
+inline constexpr std::size_t kMaxSegments = 256;
+
+// Capacity rounded down to its two leading bits. Few distinct weights keep the
+// segments large, and only one logarithm per segment is needed.
+std::int32_t WeightClass(std::int32_t capacity);
+
+// Weighted rendezvous score; among equal weights it grows with the hash.
+double WeightedScore(std::uint64_t hash, std::int32_t weight);
+
+// Lists the usable upstreams of the pool anew: live ones in domains in service.
+void RebuildPool(PlacementState& state, PoolIndex pool);
+
+// Share of the chats of a domain that may be placed there: 0 while it is out,
+// growing during the ramp, otherwise 1.
+double ReturnedShare(const PlacementState& state, DomainIndex domain, TimePoint now);
+// Whether the chat may be placed in the domain.
+bool ChatMayUse(const PlacementState& state, DomainIndex domain, ChatKey chat, TimePoint now);
+
+// Brings PoolRow::capacity of all pools up to date.
+void UpdateCapacity(PlacementState& state, TimePoint now);
+
+}  // namespace geraniumspread::placement::detail
+
+#endif  // PLACEMENT_INTERNAL_SEGMENTS_H_
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -29,6 +29,10 @@
   DomainIndex domain = kNoDomain;
   UpstreamState state = UpstreamState::kGone;
   UpstreamKind kind = UpstreamKind::kModelEngine;
+  // This router owns the upstream, so it has its load reports and its exact
+  // in-flight count. For other upstreams cold start is the owner's knowledge, and
+  // `in_flight` is only a lower bound.
+  bool owned = false;
 };
 
 struct DomainRow {
@@ -52,9 +56,16 @@
   std::vector<Segment> segments;
   std::vector<std::uint64_t> hashes;
   std::vector<UpstreamIndex> upstreams;
-  std::int64_t capacity = 0;             // of the usable upstreams
-  std::int64_t in_flight = 0;            // of this router's own rows
-  std::int64_t in_flight_elsewhere = 0;  // published by other owners
+  // Of the usable upstreams. A cold one counts with its cold limit, and a
+  // returning domain with the share of its chats that have returned.
+  double capacity = 0.0;
+  // Requests in flight at upstreams that this router owns.
+  std::int64_t in_flight = 0;
+  // This router's requests at upstreams of other owners. Their published sums
+  // include these, but later.
+  std::int64_t in_flight_not_owned = 0;
+  // Published by other owners.
+  std::int64_t in_flight_elsewhere = 0;
 };
 
 struct NameTable {
@@ -74,6 +85,7 @@
   std::vector<DomainRow> domains;
   std::vector<PoolRow> pools;
   ExceptionsTable exceptions;
+  TimePoint ticked_at = TimePoint::min();
 };
 
 PlacementState MakePlacementState(const PlacementSettings& settings, TimePoint now);
@@ -91,6 +103,8 @@
 UpstreamIndex FindUpstream(const PlacementState& state, std::string_view name);
 PoolIndex FindPool(const PlacementState& state, std::string_view name);
 DomainIndex FindDomain(const PlacementState& state, std::string_view name);
+// Whether this router owns the upstream. An upstream starts cold at each new owner.
+void SetOwned(PlacementState& state, UpstreamIndex upstream, bool owned);
 // Adds the domain when it is unknown.
 DomainIndex InternDomain(PlacementState& state, std::string_view name);
 std::string_view UpstreamName(const PlacementState& state, UpstreamIndex upstream);
@@ -107,10 +121,15 @@
                 const PlacementRequest& request,
                 const PlacementChoice& choice,
                 TimePoint now);
+// Records that the owner (this router) dispatches a request that another router placed.
+void NoteForwarded(PlacementState& state, UpstreamIndex upstream);
+// Ends a request that NotePlaced or NoteForwarded recorded.
 void NoteFinished(PlacementState& state, UpstreamIndex upstream);
 // `epoch` is the choice's cold_epoch.
 void NoteSuccess(PlacementState& state, UpstreamIndex upstream, std::uint32_t epoch);
 void NoteRefusal(PlacementState& state, UpstreamIndex upstream, TimePoint now);
+// Requests in flight at the upstreams of the pool that this router owns, for its heartbeat.
+std::int64_t OwnedInFlight(const PlacementState& state, PoolIndex pool);
 // Sum of the requests in flight that other owners published for the pool.
 void SetInFlightElsewhere(PlacementState& state, PoolIndex pool, std::int64_t in_flight);
 void NoteReport(PlacementState& state,
@@ -123,7 +142,7 @@
                     ChatKey chat,
                     CacheEventKind kind,
                     TimePoint now);
-// Turns upstreams without fresh reports cold. Run on each tick.
+// Turns upstreams without fresh reports cold and brings the pools' capacity up to date.
 void TickPlacement(PlacementState& state, TimePoint now);
 
 // The in-flight limit of an upstream over all routers: the cold limit while
--- /dev/null
+++ b/src/placement/tests/placement_test.cc
@@ -0,0 +1,345 @@
+#include "placement/placement.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <set>
+
+#include "placement/tests/counting_allocator.h"
+
+namespace geraniumspread::placement {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int32_t kCapacity = 32;
+constexpr int kDomains = 3;
+const TimePoint kStart = TimePoint{} + seconds(100);
+
+std::string DomainName(int domain) {
+  return "zone-" + std::to_string(domain);
+}
+
+ChatKey Chat(int number) {
+  return MakeChatKey("plaques", "chat-" + std::to_string(number));
+}
+
+// `count` warm upstreams of one pool over three domains.
+PlacementState MakeFleet(int count, const PlacementSettings& settings = {}) {
+  PlacementState state = MakePlacementState(settings, kStart);
+  for (int index = 0; index < count; ++index) {
+    UpsertUpstream(state, {.name = "runner-" + std::to_string(index),
+                           .pool = "wording",
+                           .domain = DomainName(index % kDomains),
+                           .kind = UpstreamKind::kModelEngine,
+                           .capacity = kCapacity});
+  }
+  return state;
+}
+
+// Makes this router the owner of the upstream, which is cold after it.
+void OwnColdUpstream(PlacementState& state, UpstreamIndex upstream, std::int32_t cold_limit) {
+  SetOwned(state, upstream, true);
+  NoteReport(state, upstream,
+             {.incarnation = 1, .sequence = 1, .capacity = kCapacity, .cold_limit = cold_limit},
+             kStart);
+}
+
+void OwnAllWarm(PlacementState& state) {
+  for (UpstreamIndex upstream = 0; upstream < state.upstreams.size(); ++upstream) {
+    OwnColdUpstream(state, upstream, kCapacity);
+    for (int success = 0; success < kCapacity; ++success) {
+      NoteSuccess(state, upstream, state.cold_start[upstream].epoch);
+    }
+    BOOST_TEST_REQUIRE(!IsCold(state, upstream));
+  }
+  TickPlacement(state, kStart);
+}
+
+PlacementRequest Request(int chat, PriorityClass priority = PriorityClass::kDraft) {
+  return {.pool = 0, .chat = Chat(chat), .priority = priority};
+}
+
+UpstreamIndex Choose(const PlacementState& state, int chat, TimePoint now = kStart) {
+  const auto choice = ChooseUpstream(state, Request(chat), now);
+  return choice ? choice.value().upstream : kNoUpstream;
+}
+
+UpstreamIndex Place(PlacementState& state, const PlacementRequest& request) {
+  const auto choice = ChooseUpstream(state, request, kStart);
+  if (!choice) {
+    return kNoUpstream;
+  }
+  NotePlaced(state, request, choice.value(), kStart);
+  return choice.value().upstream;
+}
+
+// Guards against allocation, and so unbounded delay, in a placement decision.
+BOOST_AUTO_TEST_CASE(HotPathDoesNotAllocate) {
+  PlacementState state = MakeFleet(300);
+  OwnAllWarm(state);
+  std::vector<PlacementRequest> requests;
+  for (int chat = 0; chat < 2000; ++chat) {
+    requests.push_back(Request(chat % 700));
+  }
+  const std::size_t before = AllocationCount();
+  std::size_t failed = 0;
+  for (const PlacementRequest& request : requests) {
+    const auto choice = ChooseUpstream(state, request, kStart);
+    failed += choice ? 0 : 1;
+    if (choice) {
+      NotePlaced(state, request, choice.value(), kStart);
+      NoteRefusal(state, choice.value().upstream, kStart - seconds(10));
+      NoteCacheEvent(state, choice.value().upstream, request.chat, CacheEventKind::kStored, kStart);
+      NoteSuccess(state, choice.value().upstream, choice.value().cold_epoch);
+    }
+  }
+  PlacementRequest unknown = requests.front();
+  unknown.pool = 7;
+  failed += ChooseUpstream(state, unknown, kStart) ? 0 : 1;
+  const std::size_t after = AllocationCount();
+  BOOST_TEST(after == before);
+  BOOST_TEST(failed == 1U);
+}
+
+// Guards I1: a few busy chats that overload their upstream.
+BOOST_AUTO_TEST_CASE(LoadStaysWithinTheBound) {
+  for (const bool guarded : {true, false}) {
+    PlacementState state = MakeFleet(20);
+    state.policy.load_bound = guarded;
+    OwnAllWarm(state);
+    std::int32_t highest = 0;
+    constexpr int kRequests = 300;
+    for (int index = 0; index < kRequests; ++index) {
+      const UpstreamIndex upstream = Place(state, Request(index % 7));
+      BOOST_TEST_REQUIRE(upstream != kNoUpstream);
+      highest = std::max(highest, state.upstreams[upstream].in_flight);
+    }
+    const double mean = kRequests / 20.0;
+    BOOST_TEST((highest <= std::ceil(1.25 * mean)) == guarded);
+  }
+}
+
+// Guards I2 within one router: an owned cold upstream above its cold limit.
+BOOST_AUTO_TEST_CASE(ColdUpstreamStaysAtItsLimit) {
+  PlacementState state = MakeFleet(4);
+  OwnAllWarm(state);
+  OwnColdUpstream(state, 1, 2);
+  NoteReport(state, 1, {.incarnation = 2, .sequence = 1, .capacity = kCapacity, .cold_limit = 2},
+             kStart + milliseconds(1));
+  TickPlacement(state, kStart);
+  for (int chat = 0; chat < 60; ++chat) {
+    Place(state, Request(chat));
+    BOOST_TEST(state.upstreams[1].in_flight <= 2);
+  }
+  BOOST_TEST(state.upstreams[1].in_flight == 2);
+  TickPlacement(state, kStart + seconds(60));
+  BOOST_TEST(IsCold(state, 0));
+}
+
+// Guards I3: work for a domain that operators took out, also through the exceptions table.
+BOOST_AUTO_TEST_CASE(DomainOutGetsNothingAtOnce) {
+  PlacementState state = MakeFleet(12);
+  const DomainIndex out = FindDomain(state, DomainName(1));
+  for (int chat = 0; chat < 200; ++chat) {
+    PutException(state.exceptions, Chat(chat), 1, kStart);
+  }
+  BOOST_TEST(Choose(state, 0) == 1U);
+  SetDomainInService(state, out, false, kStart);
+  for (int chat = 0; chat < 400; ++chat) {
+    const UpstreamIndex upstream = Choose(state, chat);
+    BOOST_TEST_REQUIRE(upstream != kNoUpstream);
+    BOOST_TEST(state.upstreams[upstream].domain != out);
+  }
+  BOOST_TEST(!AcceptsNewWork(state, 1));
+  BOOST_TEST(AcceptsNewWork(state, 0));
+}
+
+// Guards I7: work for a leaving upstream, also through the exceptions table.
+BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNothingAtOnce) {
+  PlacementState state = MakeFleet(6);
+  PutException(state.exceptions, Chat(0), 2, kStart);
+  SetUpstreamState(state, 2, UpstreamState::kLeaving);
+  for (int chat = 0; chat < 200; ++chat) {
+    BOOST_TEST(Choose(state, chat) != 2U);
+  }
+  BOOST_TEST(!AcceptsNewWork(state, 2));
+}
+
+// Guards against a domain that gets all of its chats back at once.
+BOOST_AUTO_TEST_CASE(DomainReturnsGradually) {
+  for (const bool guarded : {true, false}) {
+    PlacementState state = MakeFleet(12);
+    state.policy.ramped_return = guarded;
+    const DomainIndex domain = FindDomain(state, DomainName(1));
+    constexpr int kChats = 3000;
+    const auto share_at = [&](TimePoint now) {
+      int at_domain = 0;
+      for (int chat = 0; chat < kChats; ++chat) {
+        at_domain += state.upstreams[Choose(state, chat, now)].domain == domain ? 1 : 0;
+      }
+      return static_cast<double>(at_domain) / kChats;
+    };
+    const double before = share_at(kStart);
+    SetDomainInService(state, domain, false, kStart);
+    SetDomainInService(state, domain, true, kStart + seconds(10));
+    BOOST_TEST((share_at(kStart + seconds(10)) == 0.0) == guarded);
+    BOOST_TEST((std::abs(share_at(kStart + seconds(25)) - before / 2) < 0.03) == guarded);
+    BOOST_TEST(share_at(kStart + seconds(40)) == before);
+  }
+}
+
+// Guards against chats that lose their cache although their upstream stays.
+BOOST_AUTO_TEST_CASE(JoinAndLeaveMoveTheMinimum) {
+  PlacementState state = MakeFleet(21);
+  constexpr int kChats = 2000;
+  std::vector<UpstreamIndex> before;
+  for (int chat = 0; chat < kChats; ++chat) {
+    before.push_back(Choose(state, chat));
+  }
+  SetUpstreamState(state, 4, UpstreamState::kLeaving);
+  for (int chat = 0; chat < kChats; ++chat) {
+    const bool moved = Choose(state, chat) != before[static_cast<std::size_t>(chat)];
+    BOOST_TEST(moved == (before[static_cast<std::size_t>(chat)] == 4));
+  }
+  SetUpstreamState(state, 4, UpstreamState::kLive);
+  const UpstreamIndex joined = UpsertUpstream(
+      state,
+      {.name = "runner-new", .pool = "wording", .domain = DomainName(0), .capacity = kCapacity});
+  int moved = 0;
+  for (int chat = 0; chat < kChats; ++chat) {
+    const UpstreamIndex now_at = Choose(state, chat);
+    moved += now_at == joined ? 1 : 0;
+    BOOST_TEST((now_at == joined || now_at == before[static_cast<std::size_t>(chat)]));
+  }
+  BOOST_TEST(moved > 0);
+}
+
+// Guards against load in proportion to the number of upstreams instead of their capacity.
+BOOST_AUTO_TEST_CASE(CapacityIsTheWeight) {
+  PlacementState state = MakeFleet(6);
+  const UpstreamIndex large = UpsertUpstream(
+      state,
+      {.name = "large", .pool = "wording", .domain = DomainName(0), .capacity = 4 * kCapacity});
+  int at_large = 0;
+  for (int chat = 0; chat < 4000; ++chat) {
+    at_large += Choose(state, chat) == large ? 1 : 0;
+  }
+  BOOST_TEST(std::abs(at_large / 4000.0 - 0.4) < 0.04);
+}
+
+// Guards against asking the same full owner again for each request.
+BOOST_AUTO_TEST_CASE(RefusalIsRememberedForAShortTime) {
+  PlacementState state = MakeFleet(6);
+  const UpstreamIndex first = Choose(state, 1);
+  NoteRefusal(state, first, kStart);
+  BOOST_TEST(Choose(state, 1) != first);
+  BOOST_TEST(Choose(state, 1, kStart + state.settings.refusal_hold) == first);
+  state.policy.remember_refusals = false;
+  state.upstreams[first].refused_until = TimePoint::min();
+  NoteRefusal(state, first, kStart);
+  BOOST_TEST(Choose(state, 1) == first);
+}
+
+// Guards against batch work that takes the room of other domains from urgent work.
+BOOST_AUTO_TEST_CASE(SpillIsLimitedByPriority) {
+  PlacementState state = MakeFleet(6);
+  const auto home = ChooseUpstream(state, Request(1), kStart).value().home;
+  for (UpstreamRow& row : state.upstreams) {
+    row.in_flight = row.domain == home ? kCapacity : kCapacity / 2;
+  }
+  state.pools[0].in_flight_elsewhere = 6LL * kCapacity;
+  BOOST_TEST(!ChooseUpstream(state, Request(1, PriorityClass::kBatch), kStart));
+  const auto urgent = ChooseUpstream(state, Request(1, PriorityClass::kSuggestion), kStart);
+  BOOST_TEST_REQUIRE(static_cast<bool>(urgent));
+  BOOST_TEST((urgent.value().kind == ChoiceKind::kSpill));
+}
+
+// Guards against chats that leave the cache which an overflow gave them, and
+// against a table that grows or keeps an old entry in place of a new one.
+BOOST_AUTO_TEST_CASE(ExceptionsAreStickyAndBounded) {
+  PlacementSettings settings;
+  settings.exception_entries = 64;
+  PlacementState state = MakeFleet(6, settings);
+  const UpstreamIndex first = Choose(state, 1);
+  NoteRefusal(state, first, kStart);
+  const UpstreamIndex second = Place(state, Request(1));
+  BOOST_TEST(second != first);
+  NoteFinished(state, second);
+  const TimePoint later = kStart + seconds(60);
+  BOOST_TEST(Choose(state, 1, later) == second);
+  BOOST_TEST(Choose(state, 1, kStart + settings.exception_hold) == first);
+  for (int chat = 100; chat < 400; ++chat) {
+    PutException(state.exceptions, Chat(chat), 3, later + milliseconds(chat));
+  }
+  BOOST_TEST(state.exceptions.entries.size() == 64U);
+  BOOST_TEST(FindException(state.exceptions, Chat(1), seconds(600), later) == kNoUpstream);
+  BOOST_TEST(FindException(state.exceptions, Chat(399), seconds(600), later + seconds(1)) == 3U);
+}
+
+// Guards against an index that is reused while old exceptions still name it.
+BOOST_AUTO_TEST_CASE(GoneUpstreamLeavesNoExceptions) {
+  PlacementState state = MakeFleet(6);
+  PutException(state.exceptions, Chat(1), 5, kStart);
+  SetUpstreamState(state, 5, UpstreamState::kGone);
+  BOOST_TEST(FindUpstream(state, "runner-5") == kNoUpstream);
+  const UpstreamIndex reused = UpsertUpstream(
+      state, {.name = "runner-x", .pool = "wording", .domain = DomainName(2), .capacity = 1});
+  BOOST_TEST(reused == 5U);
+  BOOST_TEST(FindException(state.exceptions, Chat(1), seconds(600), kStart) == kNoUpstream);
+}
+
+// Guards against cache events that are taken as authority: late ones may name
+// an upstream that is gone, full or not where the chat is now.
+BOOST_AUTO_TEST_CASE(CacheEventsAreHints) {
+  PlacementState state = MakeFleet(6);
+  const UpstreamIndex first = Choose(state, 1);
+  const UpstreamIndex other = first == 0 ? 1 : 0;
+  NoteCacheEvent(state, other, Chat(1), CacheEventKind::kStored, kStart);
+  BOOST_TEST(Choose(state, 1) == other);
+  NoteCacheEvent(state, first, Chat(1), CacheEventKind::kEvicted, kStart);
+  BOOST_TEST(Choose(state, 1) == other);
+  NoteRefusal(state, other, kStart);
+  BOOST_TEST(Choose(state, 1) == first);
+  NoteCacheEvent(state, other, Chat(1), CacheEventKind::kEvicted, kStart);
+  BOOST_TEST(Choose(state, 1, kStart + seconds(1)) == first);
+}
+
+// Guards against a new chat that leaves its domain although the domain has room.
+BOOST_AUTO_TEST_CASE(NewChatStartsNearItsEntryRouter) {
+  PlacementState state = MakeFleet(12);
+  for (int chat = 0; chat < 50; ++chat) {
+    PlacementRequest request = Request(chat);
+    request.has_history = false;
+    request.entry_domain = FindDomain(state, DomainName(2));
+    const auto choice = ChooseUpstream(state, request, kStart);
+    BOOST_TEST(choice.value().home == request.entry_domain);
+    NotePlaced(state, request, choice.value(), kStart);
+    NoteFinished(state, choice.value().upstream);
+    // The next turn finds the cache through the exceptions table.
+    BOOST_TEST(Choose(state, chat) == choice.value().upstream);
+  }
+}
+
+// Guards against an explanation that names another choice than the router makes.
+BOOST_AUTO_TEST_CASE(ExplanationMatchesTheChoice) {
+  PlacementState state = MakeFleet(9);
+  const UpstreamIndex refused = Choose(state, 3);
+  NoteRefusal(state, refused, kStart);
+  SetDomainInService(state, (state.upstreams[refused].domain + 1) % kDomains, false, kStart);
+  const UpstreamIndex chosen = Choose(state, 3);
+  const auto candidates = ExplainChoice(state, Request(3), kStart);
+  BOOST_TEST_REQUIRE(candidates.size() == 9U);
+  std::set<Verdict> verdicts;
+  for (const CandidateExplanation& candidate : candidates) {
+    verdicts.insert(candidate.verdict);
+    BOOST_TEST((candidate.verdict == Verdict::kChosen) == (candidate.upstream == chosen));
+  }
+  BOOST_TEST(candidates.front().upstream == refused);
+  BOOST_TEST((candidates.front().verdict == Verdict::kRefused));
+  BOOST_TEST(verdicts.contains(Verdict::kDomainOut));
+  BOOST_TEST(verdicts.contains(Verdict::kAvailable));
+}
+
+}  // namespace
+}  // namespace geraniumspread::placement
