--- /dev/null
+++ b/src/ownership/internal/allowance.cc
@@ -0,0 +1,245 @@
+#include <algorithm>
+
+#include "ownership/internal/views.h"
+#include "ownership/ownership.h"
+
+namespace geraniumspread::ownership {
+namespace {
+
+// Until when a voter's latest reply shows that the member uses no reserve.
+TimePoint AccountedBy(const OwnershipState& state, RouterKey voter, RouterKey member) {
+  const VoterLink* link = detail::FindLink(state.owner, voter);
+  if (link == nullptr) {
+    return TimePoint::min();
+  }
+  const MemberView* view = detail::FindView(state, link->view);
+  const bool covered = view != nullptr && detail::Contains(view->members, member);
+  const bool silent =
+      std::any_of(link->silent.begin(), link->silent.end(),
+                  [member](const ReserveNote& note) { return note.router == member; });
+  return covered && !silent ? link->asked_at + link->accounted_for : TimePoint::min();
+}
+
+bool IsRecent(const OwnershipState& state, const VoterLink& link, TimePoint now) {
+  return now <= link.asked_at + state.settings.lease_term;
+}
+
+// The smallest divisor that any voter knows for the member; 0 when it has no reserve.
+std::uint32_t DivisorOf(const OwnershipState& state, RouterKey member, TimePoint now) {
+  std::uint32_t smallest = 0;
+  bool all_complete = true;
+  for (const VoterLink& link : state.owner.links) {
+    if (!IsRecent(state, link, now)) {
+      continue;
+    }
+    all_complete = all_complete && link.records_complete;
+    for (const ReserveNote& note : link.silent) {
+      const bool smaller =
+          note.router == member && note.divisor != 0 && (smallest == 0 || note.divisor < smallest);
+      smallest = smaller ? note.divisor : smallest;
+    }
+  }
+  if (smallest != 0 || all_complete) {
+    return smallest;
+  }
+  // A restarted voter may have forgotten the member's reserve.
+  const std::vector<RouterKey>& members = state.views.front().members;
+  return detail::Contains(members, member) ? static_cast<std::uint32_t>(members.size()) : 0;
+}
+
+// Members of the current list and every router that a voter reported as silent.
+std::vector<RouterKey> PossibleClaimants(const OwnershipState& state, TimePoint now) {
+  std::vector<RouterKey> routers = state.views.front().members;
+  for (const VoterLink& link : state.owner.links) {
+    if (IsRecent(state, link, now)) {
+      for (const ReserveNote& note : link.silent) {
+        routers.push_back(note.router);
+      }
+    }
+  }
+  std::sort(routers.begin(), routers.end());
+  routers.erase(std::unique(routers.begin(), routers.end()), routers.end());
+  std::erase(routers, state.self);
+  return routers;
+}
+
+std::int32_t LeftToSilent(const OwnershipState& state, std::int32_t limit, TimePoint now) {
+  std::int32_t left = 0;
+  for (const ReserveClaim& claim : state.owner.claims) {
+    if (claim.divisor != 0 && claim.accounted_until <= now) {
+      left += limit / static_cast<std::int32_t>(claim.divisor);
+    }
+  }
+  return left;
+}
+
+// The latest time since which a majority of some list in force has answered.
+TimePoint LastMajority(const OwnershipState& state) {
+  TimePoint latest = TimePoint::min();
+  for (const MemberView& view : state.views) {
+    latest = std::max(latest, detail::MajorityTime(view, [&state](RouterKey voter) {
+                        const VoterLink* link = detail::FindLink(state.owner, voter);
+                        return link == nullptr ? TimePoint::min() : link->answered_at;
+                      }));
+  }
+  return latest;
+}
+
+bool MayUseReserve(const OwnershipState& state, TimePoint now) {
+  const OwnerState& owner = state.owner;
+  if (state.views.empty() || owner.leaving) {
+    return false;
+  }
+  if (owner.reserve_divisor == 0) {
+    return !state.policy.reserve_needs_answer;
+  }
+  return now >= LastMajority(state) + detail::ReserveDelay(state.settings) &&
+         now < owner.majority_asked_at + state.settings.reserve_hold;
+}
+
+std::int32_t Reserve(const OwnershipState& state, std::int32_t limit) {
+  const auto members = static_cast<std::uint32_t>(state.views.front().members.size());
+  const std::uint32_t divisor =
+      state.owner.reserve_divisor == 0 ? members : state.owner.reserve_divisor;
+  return limit / static_cast<std::int32_t>(divisor);
+}
+
+Allowance AllowedByLease(const OwnershipState& state,
+                         const OwnedUpstream& owned,
+                         std::int32_t limit,
+                         TimePoint now) {
+  if (owned.release_at) {
+    return {.basis = AllowanceBasis::kReleasing};
+  }
+  const bool needs_report = state.policy.fresh_report && owned.reports_load;
+  if (needs_report && !owned.has_report) {
+    return {.basis = AllowanceBasis::kAwaitingReport};
+  }
+  Allowance allowance;
+  allowance.basis = AllowanceBasis::kLease;
+  allowance.left_to_silent = state.policy.leave_reserve ? LeftToSilent(state, limit, now) : 0;
+  allowance.foreign = state.policy.count_foreign_load ? owned.foreign : 0;
+  allowance.limit = std::max(0, limit - allowance.left_to_silent - allowance.foreign);
+  return allowance;
+}
+
+std::int32_t OwnInFlight(const OwnedUpstream& owned) {
+  return owned.since_last_ask + owned.since_previous_ask + owned.older;
+}
+
+}  // namespace
+
+namespace detail {
+
+void UpdateClaims(OwnershipState& state, TimePoint now) {
+  state.owner.claims.clear();
+  for (const RouterKey router : PossibleClaimants(state, now)) {
+    ReserveClaim claim;
+    claim.router = router;
+    claim.divisor = DivisorOf(state, router, now);
+    claim.accounted_until = MajorityTime(state.views.front(), [&state, router](RouterKey voter) {
+      return AccountedBy(state, voter, router);
+    });
+    state.owner.claims.push_back(claim);
+  }
+}
+
+}  // namespace detail
+
+bool HoldsLease(const OwnershipState& state, UpstreamKey upstream, TimePoint now) {
+  const OwnedUpstream* owned = detail::FindOwned(state.owner, upstream);
+  return owned != nullptr && owned->lease_until != TimePoint::min() &&
+         now < owned->lease_until - state.settings.dispatch_guard;
+}
+
+Allowance AllowedInFlight(const OwnershipState& state,
+                          UpstreamKey upstream,
+                          std::int32_t limit,
+                          TimePoint now) {
+  const OwnedUpstream* owned = detail::FindOwned(state.owner, upstream);
+  if (owned == nullptr) {
+    return {.basis = AllowanceBasis::kUnknownUpstream};
+  }
+  if (HoldsLease(state, upstream, now)) {
+    return AllowedByLease(state, *owned, limit, now);
+  }
+  if (MayUseReserve(state, now)) {
+    return {.limit = Reserve(state, limit), .basis = AllowanceBasis::kReserve};
+  }
+  return {.basis = AllowanceBasis::kNoLease};
+}
+
+std::int32_t InFlight(const OwnershipState& state, UpstreamKey upstream) {
+  const OwnedUpstream* owned = detail::FindOwned(state.owner, upstream);
+  return owned == nullptr ? 0 : OwnInFlight(*owned);
+}
+
+DispatchToken NoteDispatch(OwnershipState& state, UpstreamKey upstream, TimePoint now) {
+  OwnedUpstream* owned = detail::FindOwned(state.owner, upstream);
+  if (owned == nullptr) {
+    return {.upstream = upstream};
+  }
+  const bool on_reserve = !HoldsLease(state, upstream, now);
+  ++owned->since_last_ask;
+  ++owned->dispatched_since_ask;
+  owned->on_reserve += on_reserve ? 1 : 0;
+  owned->last_dispatch = now;
+  return {upstream, owned->report_generation, on_reserve};
+}
+
+void NoteFinish(OwnershipState& state, const DispatchToken& token) {
+  OwnedUpstream* owned = detail::FindOwned(state.owner, token.upstream);
+  if (owned == nullptr) {
+    return;
+  }
+  switch (owned->report_generation - token.report_generation) {
+    case 0:
+      --owned->since_last_ask;
+      break;
+    case 1:
+      --owned->since_previous_ask;
+      break;
+    default:
+      --owned->older;
+      break;
+  }
+  owned->on_reserve -= token.on_reserve ? 1 : 0;
+}
+
+void NoteReportAsked(OwnershipState& state, UpstreamKey upstream) {
+  OwnedUpstream* owned = detail::FindOwned(state.owner, upstream);
+  if (owned == nullptr) {
+    return;
+  }
+  owned->older += owned->since_previous_ask;
+  owned->since_previous_ask = owned->since_last_ask;
+  owned->since_last_ask = 0;
+  owned->in_flight_at_ask = OwnInFlight(*owned);
+  owned->dispatched_since_ask = 0;
+  ++owned->report_generation;
+}
+
+void NoteLoadReport(OwnershipState& state,
+                    UpstreamKey upstream,
+                    TimePoint asked_at,
+                    std::int32_t running,
+                    TimePoint now) {
+  OwnedUpstream* owned = detail::FindOwned(state.owner, upstream);
+  const bool counts = owned != nullptr && now < owned->lease_until && asked_at >= owned->won_at;
+  if (!counts) {
+    return;
+  }
+  if (!owned->has_report) {
+    owned->has_report = true;
+    owned->foreign = std::max(0, running - OwnInFlight(*owned));
+    return;
+  }
+  // The report falls between the request and now. Own requests that were in
+  // flight since the previous report count as own for certain; all that were in
+  // flight at some time since the request count as own at most.
+  const std::int32_t at_least = running - (owned->in_flight_at_ask + owned->dispatched_since_ask);
+  const std::int32_t at_most = std::max(0, running - owned->older);
+  owned->foreign = std::min(std::max(owned->foreign, at_least), at_most);
+}
+
+}  // namespace geraniumspread::ownership
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -1,6 +1,7 @@
 #ifndef OWNERSHIP_OWNERSHIP_H_
 #define OWNERSHIP_OWNERSHIP_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -24,6 +25,14 @@
   std::vector<RouterKey> voters;   // sorted
   // For replaced lists: when their majority stops being needed.
   TimePoint needed_until = TimePoint::max();
+  // Reported by a voter. This router seeks its majority too, but does not ask
+  // others to, or lists would circulate without end.
+  bool learned = false;
+};
+
+struct SentReply {
+  std::uint64_t number = 0;
+  TimePoint sent;
 };
 
 // What a voter remembers about one router that sent it requests.
@@ -32,14 +41,14 @@
   std::uint64_t incarnation = 0;
   std::uint64_t last_number = 0;
   // The two latest replies to the router, to translate its acknowledgements into times.
-  std::uint64_t reply_numbers[2] = {0, 0};
-  TimePoint reply_times[2];
+  std::array<SentReply, 2> replies;
   // When the voter sent the latest reply that the router is known to have received.
   std::optional<TimePoint> acknowledged_at;
   TimePoint heard_at;
   std::uint32_t reserve_divisor = 0;
   std::uint32_t member_count = 0;
   bool reserve_in_use = false;
+  bool left = false;  // stopped for good and uses no reserve
 };
 
 struct Promise {
@@ -57,6 +66,7 @@
 // The owner's side of one voter.
 struct VoterLink {
   RouterKey voter{};
+  // The latest request that the voter answered, and when the reply came.
   std::uint64_t answered_number = 0;
   TimePoint answered_at = TimePoint::min();
   // When the request of the latest reply was sent.
@@ -95,16 +105,35 @@
   std::uint32_t report_generation = 0;
 };
 
+// A member that may use a reserve unless it is known to have a majority.
+struct ReserveClaim {
+  RouterKey router{};
+  std::uint32_t divisor = 0;
+  // Until then the member is known to use no reserve.
+  TimePoint accounted_until = TimePoint::min();
+};
+
+// One round of requests to all voters.
+struct Round {
+  TimePoint sent;
+  std::uint32_t member_count = 0;
+};
+inline constexpr std::size_t kRememberedRounds = 8;
+
 struct OwnerState {
   std::vector<OwnedUpstream> upstreams;  // sorted by key
   std::vector<VoterLink> links;
   std::uint64_t round = 0;
   TimePoint next_round = TimePoint::min();
-  // Send times of the latest rounds, indexed by number modulo the size.
-  TimePoint round_sent[8];
+  // The latest rounds, indexed by number modulo the size.
+  std::array<Round, kRememberedRounds> rounds;
+  // Replies to this and earlier rounds no longer count.
+  std::uint64_t void_rounds = 0;
+  // Divisor of this router's reserve; 0 while no round was answered by a majority.
   std::uint32_t reserve_divisor = 0;
-  // Member count that the latest rounds reported, indexed as `round_sent`.
-  std::uint32_t round_member_count[8] = {};
+  // When the latest round that a majority answered was sent.
+  TimePoint majority_asked_at = TimePoint::min();
+  std::vector<ReserveClaim> claims;
   bool leaving = false;
 };
 
@@ -128,7 +157,7 @@
 
 // Members of the domain: routers that the platform lists or that were heard
 // within `member_hold`. `candidates` are those of them that may own upstreams:
-// heard within one lease term and not draining. Both include this router itself.
+// heard within one lease term and not draining. This router itself is always a member.
 // The member list decides majorities; the candidate list only decides who asks.
 void SetMembers(OwnershipState& state,
                 std::span<const RouterKey> members,
@@ -136,9 +165,7 @@
                 TimePoint now);
 
 // All upstreams of this router's failure domain.
-void SetUpstreams(OwnershipState& state,
-                  std::span<const DomainUpstream> upstreams,
-                  TimePoint now);
+void SetUpstreams(OwnershipState& state, std::span<const DomainUpstream> upstreams, TimePoint now);
 
 // The router that should own the upstream: the highest in a rendezvous hash.
 // `routers` must not be empty.
--- /dev/null
+++ b/src/ownership/tests/ownership_test.cc
@@ -0,0 +1,349 @@
+#include "ownership/ownership.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "ownership/tests/fake_domain.h"
+
+namespace geraniumspread::ownership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against a domain whose upstream nobody serves, or that leaves part of the limit unused.
+BOOST_AUTO_TEST_CASE(OneRouterServesWithTheWholeLimit) {
+  for (const std::size_t size : {1U, 2U, 3U, 8U, 51U}) {
+    FakeDomain domain(size, 2, OwnershipPolicy{}, 1);
+    domain.Run(seconds(12));
+    BOOST_TEST_REQUIRE(domain.Holder().has_value());
+    BOOST_TEST((domain.AllowedAt(*domain.Holder()).limit == 2));
+    BOOST_TEST(domain.peak == 2);
+  }
+}
+
+// Kills the owner while its streams run, in a domain of 8 with a cold limit of 2.
+std::int32_t PeakAfterOwnerDeath(const OwnershipPolicy& policy) {
+  FakeDomain domain(8, 2, policy, 2);
+  domain.request_time = seconds(40);
+  domain.Run(seconds(12));
+  const std::size_t dead = domain.Holder().value();
+  domain.routers[dead].alive = false;
+  domain.SetMembersOfAll({0, 1, 2, 3, 4, 5, 6, 7});
+  domain.Run(seconds(30));
+  BOOST_TEST((domain.Holder().has_value() && *domain.Holder() != dead));
+  return domain.peak;
+}
+
+// Guards I2 against streams that a dead owner left running.
+BOOST_AUTO_TEST_CASE(StreamsOfADeadOwnerCount) {
+  BOOST_TEST(PeakAfterOwnerDeath({}) == 2);
+  BOOST_TEST(PeakAfterOwnerDeath({.count_foreign_load = false}) > 2);
+}
+
+// An owner dies; the last report that its successor can get is from before the lease was won.
+std::int32_t PeakWithStaleReports(const OwnershipPolicy& policy) {
+  FakeDomain domain(3, 2, policy, 3);
+  domain.request_time = seconds(40);
+  domain.Run(seconds(12));
+  domain.routers[domain.Holder().value()].alive = false;
+  domain.SetMembersOfAll({0, 1, 2});
+  domain.report_delay = seconds(20);
+  domain.Run(seconds(15));
+  return domain.peak;
+}
+
+// Guards I2 against a first dispatch on the word of a stale load report.
+BOOST_AUTO_TEST_CASE(FirstDispatchNeedsAFreshReport) {
+  BOOST_TEST(PeakWithStaleReports({}) == 2);
+  BOOST_TEST(PeakWithStaleReports({.fresh_report = false}) > 2);
+}
+
+// Pauses the owner, whose grants are still in its queue, past the lease.
+std::int32_t PeakAfterPause(const OwnershipPolicy& policy) {
+  std::int32_t peak = 0;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    FakeDomain domain(3, 2, policy, seed);
+    domain.Run(seconds(12));
+    FakeRouter& owner = domain.routers[domain.Holder().value()];
+    domain.Run(milliseconds(20 * static_cast<int>(seed)));
+    owner.paused_until = domain.now + seconds(6);
+    domain.SetMembersOfAll({0, 1, 2});
+    domain.Run(seconds(9));
+    peak = std::max(peak, domain.peak);
+  }
+  return peak;
+}
+
+// Guards I2 against an owner that resumes late and trusts a lease that others took over.
+BOOST_AUTO_TEST_CASE(PausedOwnerFindsItsLeaseExpired) {
+  BOOST_TEST(PeakAfterPause({}) == 2);
+  BOOST_TEST(PeakAfterPause({.expiry_by_own_clock = false}) > 2);
+}
+
+// The owner renews with one voter of two, which restarts and is then cut off
+// together with the router that holds no promise any more.
+std::int32_t PeakAfterVoterRestart(const OwnershipPolicy& policy) {
+  FakeDomain domain(3, 2, policy, 4);
+  domain.Run(seconds(12));
+  const std::size_t owner = domain.Holder().value();
+  const std::size_t voter = (owner + 1) % 3;
+  const std::size_t other = (owner + 2) % 3;
+  domain.routers[other].group = 1;
+  domain.Run(seconds(4));
+  domain.routers[owner].group = 2;
+  domain.Restart(voter);
+  domain.routers[voter].group = 1;
+  domain.SetMembersOfAll({0, 1, 2});
+  domain.Run(seconds(6));
+  return domain.peak;
+}
+
+// Guards I2 against a restarted voter that forgot its promises.
+BOOST_AUTO_TEST_CASE(RestartedVoterPromisesNothingForATerm) {
+  BOOST_TEST(PeakAfterVoterRestart({}) == 2);
+  BOOST_TEST(PeakAfterVoterRestart({.restart_silence = false}) > 2);
+}
+
+// Cuts one router of three off and joins it again.
+std::int32_t PeakInPartition(const OwnershipPolicy& policy, bool& minority_served) {
+  FakeDomain domain(3, 6, policy, 5);
+  domain.Run(seconds(12));
+  const std::size_t owner = domain.Holder().value();
+  const std::size_t cut_off = (owner + 1) % 3;
+  domain.routers[cut_off].group = 1;
+  domain.SetMembersOfAll({0, 1, 2});
+  domain.Run(seconds(12));
+  minority_served = domain.AllowedAt(cut_off).basis == AllowanceBasis::kReserve &&
+                    InFlight(domain.routers[cut_off].state, domain.upstream) == 2;
+  domain.routers[cut_off].group = 0;
+  domain.SetMembersOfAll({0, 1, 2});
+  domain.Run(seconds(12));
+  BOOST_TEST(domain.AllowedAt(domain.Holder().value()).left_to_silent == 0);
+  return domain.peak;
+}
+
+// Guards I2 against a minority and a majority that both use the whole limit,
+// and against a minority that serves nothing.
+BOOST_AUTO_TEST_CASE(ReserveOfTheMinorityIsLeftUnused) {
+  bool served = false;
+  BOOST_TEST(PeakInPartition({}, served) == 6);
+  BOOST_TEST(served);
+  BOOST_TEST(PeakInPartition({.leave_reserve = false}, served) > 6);
+}
+
+// Guards against a reserve for a new router that the others do not know of.
+BOOST_AUTO_TEST_CASE(RouterThatWasNeverAnsweredHasNoReserve) {
+  for (const bool guarded : {true, false}) {
+    FakeDomain domain(3, 6, {.reserve_needs_answer = guarded}, 6);
+    domain.Run(seconds(12));
+    domain.routers[2].group = 1;
+    domain.Restart(2);
+    domain.SetMembersOf(2, {0, 1, 2});
+    domain.Run(seconds(12));
+    BOOST_TEST((domain.AllowedAt(2).limit == 0) == guarded);
+  }
+}
+
+// One half of a domain sees a list without the other half.
+std::int32_t PeakWithDisagreement(const OwnershipPolicy& policy) {
+  std::int32_t peak = 0;
+  for (std::uint64_t seed = 0; seed < 10; ++seed) {
+    FakeDomain domain(6, 2, policy, seed);
+    domain.Run(seconds(12));
+    for (const std::size_t router : {3U, 4U, 5U}) {
+      domain.SetMembersOf(router, {3, 4, 5});
+    }
+    for (const std::size_t router : {0U, 1U, 2U}) {
+      domain.SetMembersOf(router, {0, 1, 2});
+    }
+    domain.Run(seconds(8));
+    domain.SetMembersOfAll({0, 1, 2, 3, 4, 5});
+    domain.Run(seconds(8));
+    peak = std::max(peak, domain.peak);
+  }
+  return peak;
+}
+
+// Guards I2 against two majorities of different member lists.
+BOOST_AUTO_TEST_CASE(DisagreementOnMembersGivesOneOwner) {
+  BOOST_TEST(PeakWithDisagreement({}) == 2);
+  BOOST_TEST(PeakWithDisagreement({.joint_views = false}) > 2);
+}
+
+// Two routers that see different candidates both ask for the upstream.
+std::int32_t PeakWithTwoCandidates(const OwnershipPolicy& policy) {
+  FakeDomain domain(3, 2, policy, 7);
+  domain.Run(seconds(12));
+  const std::size_t other = (domain.Holder().value() + 1) % 3;
+  OwnershipState& state = domain.routers[other].state;
+  const std::vector<RouterKey> members = state.views.front().members;
+  SetMembers(state, members, std::span(&state.self, 1), domain.now);
+  domain.Run(seconds(6));
+  return domain.peak;
+}
+
+// Guards I2 against a voter that promises an upstream to two routers.
+BOOST_AUTO_TEST_CASE(VoterPromisesToOneRouter) {
+  BOOST_TEST(PeakWithTwoCandidates({}) == 2);
+  BOOST_TEST(PeakWithTwoCandidates({.exclusive_promises = false}) > 2);
+}
+
+// Guards against a handover that waits for the end of the term, and against a
+// new owner that does not see requests on their way to the upstream.
+BOOST_AUTO_TEST_CASE(HandoverByReleaseIsQuickAndExact) {
+  FakeDomain domain(3, 2, OwnershipPolicy{}, 8);
+  domain.Run(seconds(12));
+  const std::size_t leaving = domain.Holder().value();
+  LeaveOwnership(domain.routers[leaving].state, domain.now);
+  BOOST_TEST((domain.AllowedAt(leaving).basis == AllowanceBasis::kReleasing));
+  std::vector<RouterKey> members = domain.routers[leaving].state.views.front().members;
+  std::vector<RouterKey> candidates = members;
+  std::erase(candidates, domain.routers[leaving].state.self);
+  for (FakeRouter& router : domain.routers) {
+    SetMembers(router.state, members, candidates, domain.now);
+  }
+  domain.Run(milliseconds(1700));
+  BOOST_TEST((domain.Holder().has_value() && *domain.Holder() != leaving));
+  domain.Run(seconds(4));
+  BOOST_TEST(domain.peak == 2);
+  BOOST_TEST(domain.AllowedAt(domain.Holder().value()).left_to_silent == 0);
+}
+
+// Guards against a release that overtakes the owner's last dispatch.
+BOOST_AUTO_TEST_CASE(ReleaseWaitsForTheLastDispatch) {
+  for (const bool guarded : {true, false}) {
+    FakeDomain domain(1, 2, {.release_after_guard = guarded}, 9);
+    domain.Run(seconds(5));
+    OwnershipState& state = domain.routers[0].state;
+    NoteDispatch(state, domain.upstream, domain.now);
+    LeaveOwnership(state, domain.now);
+    const OwnedUpstream& owned = state.owner.upstreams.front();
+    BOOST_TEST_REQUIRE(owned.release_at.has_value());
+    BOOST_TEST((*owned.release_at == domain.now + domain.settings.dispatch_guard) == guarded);
+  }
+}
+
+// Guards against any router, or a late message of the holder, that ends a lease in force.
+BOOST_AUTO_TEST_CASE(VoterAcceptsAReleaseOnlyFromTheHolder) {
+  for (const bool guarded : {true, false}) {
+    FakeDomain domain(3, 2, {.release_by_holder_only = guarded}, 10);
+    domain.Run(seconds(12));
+    const std::size_t owner = domain.Holder().value();
+    OwnershipState& voter = domain.routers[(owner + 1) % 3].state;
+    const RouterKey stranger = domain.routers[(owner + 2) % 3].state.self;
+    const RouterKey holder = domain.routers[owner].state.self;
+    HandleLeaseRelease(voter, holder,
+                       {.incarnation = 1, .number = 1, .upstreams = {domain.upstream}}, domain.now);
+    HandleLeaseRelease(voter, stranger,
+                       {.incarnation = 1, .number = 99, .upstreams = {domain.upstream}},
+                       domain.now);
+    BOOST_TEST(voter.voter.promises.contains(domain.upstream) == guarded);
+  }
+}
+
+// Draws one fault or one repair of a fault.
+void DrawEvent(FakeDomain& domain, std::vector<std::size_t>& listed) {
+  const std::size_t size = domain.routers.size();
+  const std::size_t router = domain.random() % size;
+  switch (domain.random() % 8) {
+    case 0:
+      domain.routers[router].paused_until = domain.now + milliseconds(domain.random() % 9000);
+      break;
+    case 1:
+      domain.routers[router].alive = false;
+      break;
+    case 2:
+      if (!domain.routers[router].alive) {
+        domain.Restart(router);
+      }
+      break;
+    case 3:
+      domain.routers[router].group = static_cast<int>(domain.random() % 2);
+      break;
+    case 4:
+      for (FakeRouter& healed : domain.routers) {
+        healed.group = 0;
+      }
+      break;
+    case 5:
+      // The platform drops a dead router or lists it again.
+      if (std::erase(listed, router) == 0 || domain.routers[router].alive) {
+        listed.push_back(router);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+// Each router learns the platform's list with a delay of its own.
+void SpreadMembers(FakeDomain& domain, const std::vector<std::size_t>& listed) {
+  for (std::size_t router = 0; router < domain.routers.size(); ++router) {
+    const FakeRouter& member = domain.routers[router];
+    const bool runs = member.alive && member.paused_until <= domain.now;
+    if (runs && (domain.random() % 3 == 0 || member.state.views.empty())) {
+      domain.SetMembersOf(router, listed);
+    }
+  }
+}
+
+struct ScheduleResult {
+  int overshoots = 0;
+  std::int64_t started = 0;
+};
+
+ScheduleResult RunSchedules(std::size_t size, std::int32_t limit, const OwnershipPolicy& policy) {
+  constexpr std::uint64_t kSeeds = 40;
+  ScheduleResult result;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FakeDomain domain(size, limit, policy, seed);
+    domain.loss = 0.05;
+    domain.long_delay = 0.05;
+    domain.request_time = seconds(seed % 2 == 0 ? 1 : 8);
+    std::vector<std::size_t> listed;
+    for (std::size_t router = 0; router < size; ++router) {
+      listed.push_back(router);
+    }
+    for (int event = 0; event < 40; ++event) {
+      DrawEvent(domain, listed);
+      for (int part = 0; part < 3; ++part) {
+        SpreadMembers(domain, listed);
+        domain.Run(milliseconds(500));
+      }
+    }
+    if (domain.peak > limit) {
+      BOOST_TEST_MESSAGE("size " << size << " limit " << limit << " seed " << seed << " peak "
+                                 << domain.peak);
+      ++result.overshoots;
+    }
+    result.started += domain.started;
+  }
+  return result;
+}
+
+// Guards I2 against combinations of pauses, deaths, restarts, partitions, lost
+// and late messages and lagging member lists.
+BOOST_AUTO_TEST_CASE(RandomSchedulesNeverExceedTheLimit) {
+  const struct {
+    std::size_t size;
+    std::int32_t limit;
+  } kCases[] = {{2, 2}, {3, 6}, {5, 8}, {8, 2}, {8, 16}};
+  for (const auto& [size, limit] : kCases) {
+    const ScheduleResult result = RunSchedules(size, limit, {});
+    BOOST_TEST(result.overshoots == 0);
+    BOOST_TEST(result.started > 1000);
+  }
+}
+
+// Shows that the random schedules reach the cases that each guard is for.
+BOOST_AUTO_TEST_CASE(RandomSchedulesFailWithoutEachGuard) {
+  const OwnershipPolicy kWithout[] = {
+      {.exclusive_promises = false}, {.restart_silence = false}, {.expiry_by_own_clock = false},
+      {.leave_reserve = false},      {.fresh_report = false},    {.count_foreign_load = false}};
+  for (const OwnershipPolicy& policy : kWithout) {
+    BOOST_TEST(RunSchedules(3, 6, policy).overshoots > 0);
+  }
+}
+
+}  // namespace
+}  // namespace geraniumspread::ownership
--- a/src/placement/internal/placement.cc
+++ b/src/placement/internal/placement.cc
@@ -93,6 +93,7 @@
                    now);
     }
   }
+  detail::FreeGoneUpstreams(state);
   detail::UpdateCapacity(state, now);
 }
 
--- a/src/placement/internal/segments.h
+++ b/src/placement/internal/segments.h
@@ -26,6 +26,9 @@
 // Whether the chat may be placed in the domain.
 bool ChatMayUse(const PlacementState& state, DomainIndex domain, ChatKey chat, TimePoint now);
 
+// Frees the indexes of gone upstreams without requests in flight.
+void FreeGoneUpstreams(PlacementState& state);
+
 // Brings PoolRow::capacity of all pools up to date.
 void UpdateCapacity(PlacementState& state, TimePoint now);
 
--- a/src/placement/internal/topology.cc
+++ b/src/placement/internal/topology.cc
@@ -51,14 +51,26 @@
   detail::UpdateCapacity(state, state.ticked_at);
 }
 
-void FreeUpstream(PlacementState& state, UpstreamIndex upstream) {
-  EraseExceptionsOf(state.exceptions, upstream);
-  state.upstream_names.indexes.erase(state.upstream_names.names[upstream]);
-  state.upstream_names.names[upstream].clear();
-  state.free_upstreams.push_back(upstream);
+}  // namespace
+
+namespace detail {
+
+void FreeGoneUpstreams(PlacementState& state) {
+  for (UpstreamIndex upstream = 0; upstream < state.upstreams.size(); ++upstream) {
+    const UpstreamRow& row = state.upstreams[upstream];
+    std::string& name = state.upstream_names.names[upstream];
+    // A request in flight still refers to the index.
+    const bool frees = row.state == UpstreamState::kGone && row.in_flight == 0 && !name.empty();
+    if (frees) {
+      EraseExceptionsOf(state.exceptions, upstream);
+      state.upstream_names.indexes.erase(name);
+      name.clear();
+      state.free_upstreams.push_back(upstream);
+    }
+  }
 }
 
-}  // namespace
+}  // namespace detail
 
 ChatKey MakeChatKey(std::string_view workspace, std::string_view chat) {
   return static_cast<ChatKey>(StableHash(chat, StableHash(workspace)));
@@ -99,15 +111,11 @@
   if (row.state == next) {
     return;
   }
-  const bool frees = next == UpstreamState::kGone;
-  if (frees) {
+  if (next == UpstreamState::kGone) {
     SetOwned(state, upstream, false);
   }
   row.state = next;
   Refresh(state, row.pool);
-  if (frees) {
-    FreeUpstream(state, upstream);
-  }
 }
 
 void SetDomainInService(PlacementState& state, DomainIndex domain, bool in_service, TimePoint now) {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -94,7 +94,8 @@
 
 // Adds the upstream as live, or updates it. A known name keeps its index.
 UpstreamIndex UpsertUpstream(PlacementState& state, const UpstreamInfo& info);
-// A leaving upstream gets no new work; a gone one frees its index.
+// A leaving upstream gets no new work. A gone one frees its index at a later
+// tick, when none of its requests is in flight.
 void SetUpstreamState(PlacementState& state, UpstreamIndex upstream, UpstreamState next);
 // Takes a failure domain out of service or starts its gradual return. A domain
 // that was never out is in service without a ramp.
@@ -142,7 +143,8 @@
                     ChatKey chat,
                     CacheEventKind kind,
                     TimePoint now);
-// Turns upstreams without fresh reports cold and brings the pools' capacity up to date.
+// Turns upstreams without fresh reports cold, frees the indexes of gone ones and brings the pools'
+// capacity up to date.
 void TickPlacement(PlacementState& state, TimePoint now);
 
 // The in-flight limit of an upstream over all routers: the cold limit while
