--- a/src/ownership/internal/allowance.cc
+++ b/src/ownership/internal/allowance.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 
 #include "ownership/internal/views.h"
 #include "ownership/ownership.h"
@@ -85,23 +86,18 @@
   return latest;
 }
 
-bool MayUseReserve(const OwnershipState& state, TimePoint now) {
+// Since when this router may use its reserve; nothing while it may not.
+std::optional<TimePoint> ReserveSince(const OwnershipState& state, TimePoint now) {
   const OwnerState& owner = state.owner;
   if (state.views.empty() || owner.leaving) {
-    return false;
+    return std::nullopt;
   }
   if (owner.reserve_divisor == 0) {
-    return !state.policy.reserve_needs_answer;
+    return state.policy.reserve_needs_answer ? std::nullopt : std::optional(state.started_at);
   }
-  return now >= LastMajority(state) + detail::ReserveDelay(state.settings) &&
-         now < owner.majority_asked_at + state.settings.reserve_hold;
-}
-
-std::int32_t Reserve(const OwnershipState& state, std::int32_t limit) {
-  const auto members = static_cast<std::uint32_t>(state.views.front().members.size());
-  const std::uint32_t divisor =
-      state.owner.reserve_divisor == 0 ? members : state.owner.reserve_divisor;
-  return limit / static_cast<std::int32_t>(divisor);
+  const TimePoint since = LastMajority(state) + detail::ReserveDelay(state.settings);
+  const bool open = now >= since && now < owner.majority_asked_at + state.settings.reserve_hold;
+  return open ? std::optional(since) : std::nullopt;
 }
 
 Allowance AllowedByLease(const OwnershipState& state,
@@ -123,6 +119,45 @@
   return allowance;
 }
 
+// Streams of an owner that died or used the whole limit before it noticed the cut
+// may still run. Beside them, all routers that use a reserve share the room that
+// is left, and each of them must assume that the others use their part unseen.
+std::int32_t ReserveBesideOthers(std::int32_t limit, std::int32_t divisor, std::int32_t of_others) {
+  const std::int32_t reserve = limit / divisor;
+  const std::int32_t other_users = divisor - 1;
+  if (of_others <= limit - other_users * reserve) {
+    return reserve;
+  }
+  return other_users == 0 ? 0 : std::min(reserve, std::max(0, limit - of_others) / other_users);
+}
+
+Allowance AllowedByReserve(const OwnershipState& state,
+                           const OwnedUpstream& owned,
+                           std::int32_t limit,
+                           TimePoint since,
+                           TimePoint now) {
+  const auto members = static_cast<std::uint32_t>(state.views.front().members.size());
+  const auto divisor = static_cast<std::int32_t>(
+      state.owner.reserve_divisor == 0 ? members : state.owner.reserve_divisor);
+  Allowance allowance{.limit = limit / divisor, .basis = AllowanceBasis::kReserve};
+  if (!owned.reports_load) {
+    return allowance;
+  }
+  const Duration age = state.settings.reserve_report_age;
+  // By then the holder leaves this reserve unused, and what other routers
+  // dispatched on the word of an earlier report shows in this one.
+  const TimePoint settled = since + age + state.settings.dispatch_guard;
+  const bool fresh = owned.report_asked_at >= settled && now <= owned.report_asked_at + age;
+  if (!fresh && state.policy.fresh_report) {
+    return {.basis = AllowanceBasis::kAwaitingReport};
+  }
+  if (state.policy.count_foreign_load) {
+    allowance.foreign = owned.of_others;
+    allowance.limit = ReserveBesideOthers(limit, divisor, owned.of_others);
+  }
+  return allowance;
+}
+
 std::int32_t OwnInFlight(const OwnedUpstream& owned) {
   return owned.since_last_ask + owned.since_previous_ask + owned.older;
 }
@@ -131,6 +166,11 @@
 
 namespace detail {
 
+bool ReserveInUse(const OwnerState& owner) {
+  return std::any_of(owner.upstreams.begin(), owner.upstreams.end(),
+                     [](const OwnedUpstream& owned) { return owned.on_reserve > 0; });
+}
+
 void UpdateClaims(OwnershipState& state, TimePoint now) {
   state.owner.claims.clear();
   for (const RouterKey router : PossibleClaimants(state, now)) {
@@ -163,8 +203,8 @@
   if (HoldsLease(state, upstream, now)) {
     return AllowedByLease(state, *owned, limit, now);
   }
-  if (MayUseReserve(state, now)) {
-    return {.limit = Reserve(state, limit), .basis = AllowanceBasis::kReserve};
+  if (const auto since = ReserveSince(state, now)) {
+    return AllowedByReserve(state, *owned, limit, *since, now);
   }
   return {.basis = AllowanceBasis::kNoLease};
 }
@@ -225,8 +265,13 @@
                     std::int32_t running,
                     TimePoint now) {
   OwnedUpstream* owned = detail::FindOwned(state.owner, upstream);
-  const bool counts = owned != nullptr && now < owned->lease_until && asked_at >= owned->won_at;
-  if (!counts) {
+  if (owned == nullptr || asked_at < owned->report_asked_at) {
+    return;
+  }
+  owned->report_asked_at = asked_at;
+  owned->of_others = std::max(0, running - owned->older);
+  const bool after_win = now < owned->lease_until && asked_at >= owned->won_at;
+  if (!after_win) {
     return;
   }
   if (!owned->has_report) {
@@ -238,8 +283,7 @@
   // flight since the previous report count as own for certain; all that were in
   // flight at some time since the request count as own at most.
   const std::int32_t at_least = running - (owned->in_flight_at_ask + owned->dispatched_since_ask);
-  const std::int32_t at_most = std::max(0, running - owned->older);
-  owned->foreign = std::min(std::max(owned->foreign, at_least), at_most);
+  owned->foreign = std::min(std::max(owned->foreign, at_least), owned->of_others);
 }
 
 }  // namespace geraniumspread::ownership
--- a/src/ownership/internal/owner.cc
+++ b/src/ownership/internal/owner.cc
@@ -22,11 +22,6 @@
   return owner.rounds[number % owner.rounds.size()];
 }
 
-bool ReserveInUse(const OwnerState& owner) {
-  return std::any_of(owner.upstreams.begin(), owner.upstreams.end(),
-                     [](const OwnedUpstream& owned) { return owned.on_reserve > 0; });
-}
-
 // Members of the current list and departed routers that may still use a reserve.
 std::uint32_t CountMembers(const OwnershipState& state, TimePoint now) {
   const std::vector<RouterKey>& members = state.views.front().members;
@@ -45,7 +40,7 @@
   request.number = owner.round;
   request.member_count = CountMembers(state, now);
   request.reserve_divisor = owner.reserve_divisor;
-  request.reserve_in_use = ReserveInUse(owner);
+  request.reserve_in_use = detail::ReserveInUse(owner);
   for (const MemberView& view : state.views) {
     request.views.push_back(view.digest);
   }
--- a/src/ownership/internal/views.h
+++ b/src/ownership/internal/views.h
@@ -61,6 +61,9 @@
   return 2 * settings.lease_term;
 }
 
+// Whether requests that were dispatched on the reserve are still running.
+bool ReserveInUse(const OwnerState& owner);
+
 // Lists anew which members may use a reserve, from the voters' latest replies.
 void UpdateClaims(OwnershipState& state, TimePoint now);
 
--- a/src/ownership/internal/voter.cc
+++ b/src/ownership/internal/voter.cc
@@ -112,11 +112,14 @@
   if (record.left) {
     return true;
   }
+  // This router's own record is as old as its last round; its requests are not.
+  const bool in_use =
+      record.router == state.self ? detail::ReserveInUse(state.owner) : record.reserve_in_use;
   const std::uint32_t panel = state.settings.panel_size;
   // A router with a larger panel needs more answers than the asking owner counts.
   const bool needs_more = MajorityOf(std::min(panel, record.member_count)) >
                           MajorityOf(std::min(panel, request.member_count));
-  return record.acknowledged_at && !record.reserve_in_use && !needs_more &&
+  return record.acknowledged_at && !in_use && !needs_more &&
          *record.acknowledged_at + detail::ReserveDelay(state.settings) > now;
 }
 
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -95,6 +95,10 @@
   TimePoint last_dispatch = TimePoint::min();
   bool has_report = false;
   std::int32_t foreign = 0;
+  // When the latest report was asked for.
+  TimePoint report_asked_at = TimePoint::min();
+  // Requests in that report that are not certain to be this router's own.
+  std::int32_t of_others = 0;
   // Own requests in flight, by the number of load reports asked for since their dispatch.
   std::int32_t since_last_ask = 0;
   std::int32_t since_previous_ask = 0;
--- a/src/ownership/ownership_types.h
+++ b/src/ownership/ownership_types.h
@@ -32,6 +32,9 @@
   // How long a router without a majority may use its reserve, and how long
   // others leave that reserve unused after the router went silent.
   Duration reserve_hold = std::chrono::minutes(2);
+  // A load report older than this does not allow use of the reserve. Must exceed
+  // the period of load reports.
+  Duration reserve_report_age = std::chrono::seconds(1);
   // Most voters of a domain.
   std::uint32_t panel_size = 5;
 };
