--- /dev/null
+++ b/src/fleet/peer_messages.h
@@ -0,0 +1,131 @@
+#ifndef FLEET_PEER_MESSAGES_H_
+#define FLEET_PEER_MESSAGES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "fleet/fleet_types.h"
+
+// Control messages between routers (section "Router to router" of the design
+// page). Every message is a JSON-RPC 2.0 notification with `"v": 1`. Receivers
+// ignore unknown fields and give missing optional fields the defaults below.
+namespace geraniumspread::fleet {
+
+// In-flight requests on the upstreams of one pool that the sender owns.
+struct PoolLoad {
+  std::string pool;
+  std::uint32_t in_flight = 0;
+
+  bool operator==(const PoolLoad&) const = default;
+};
+
+struct Heartbeat {
+  std::uint64_t incarnation = 0;
+  std::string failure_domain;
+  RouterState state = RouterState::kStarting;
+  ConfigVersion config;
+  std::vector<PoolLoad> pool_loads;
+  std::uint64_t quarantine_digest = 0;
+  // Sent while the router is new, for peers whose instance list lags.
+  std::optional<Endpoint> endpoint;
+
+  bool operator==(const Heartbeat&) const = default;
+};
+
+struct LeaseRequest {
+  std::uint64_t request_number = 0;
+  std::uint32_t member_count = 0;
+  std::vector<std::string> upstreams;
+
+  bool operator==(const LeaseRequest&) const = default;
+};
+
+struct LeaseReply {
+  std::uint64_t request_number = 0;
+  std::vector<std::string> granted;
+  std::vector<std::string> refused;
+
+  bool operator==(const LeaseReply&) const = default;
+};
+
+// Gives promises back before their term ends. Drops nothing when it is lost:
+// the promises then end with their term.
+struct LeaseRelease {
+  std::uint64_t request_number = 0;
+  std::vector<std::string> upstreams;
+
+  bool operator==(const LeaseRelease&) const = default;
+};
+
+struct ConfigOffer {
+  ConfigVersion config;
+  // Absent when the manifest doesn't fit a frame; it is then pulled by digest.
+  std::optional<std::string> manifest;
+
+  bool operator==(const ConfigOffer&) const = default;
+};
+
+// Asks for the bytes of a manifest or shard from `offset` on.
+struct ConfigRequest {
+  std::string digest;
+  std::uint64_t offset = 0;
+
+  bool operator==(const ConfigRequest&) const = default;
+};
+
+// Part of a manifest or shard. `total` 0 means the sender doesn't have it.
+struct ConfigPart {
+  std::string digest;
+  std::uint64_t offset = 0;
+  std::uint64_t total = 0;
+  std::string bytes;  // base64 on the wire
+
+  bool operator==(const ConfigPart&) const = default;
+};
+
+// One request fingerprint that crashes upstreams.
+struct QuarantineEntry {
+  std::string fingerprint;
+  std::uint32_t deaths = 0;
+  std::chrono::milliseconds remaining{0};
+
+  bool operator==(const QuarantineEntry&) const = default;
+};
+
+struct Quarantine {
+  std::vector<QuarantineEntry> entries;
+
+  bool operator==(const Quarantine&) const = default;
+};
+
+using PeerMessage = std::variant<Heartbeat,
+                                 LeaseRequest,
+                                 LeaseReply,
+                                 LeaseRelease,
+                                 ConfigOffer,
+                                 ConfigRequest,
+                                 ConfigPart,
+                                 Quarantine>;
+
+inline constexpr std::size_t kMessageTypeCount = std::variant_size_v<PeerMessage>;
+
+// JSON-RPC method of the alternative with this index of PeerMessage.
+std::string_view MethodName(std::size_t type_index);
+
+// Limits that both sides check.
+inline constexpr std::size_t kMaxPoolLoads = 256;
+inline constexpr std::size_t kMaxLeaseUpstreams = 400;
+inline constexpr std::size_t kMaxQuarantineEntries = 128;
+// Raw bytes of a part; with base64 and the envelope it stays below a frame.
+inline constexpr std::size_t kMaxPartBytes = 40U * 1024;
+// A manifest up to this size travels inside its offer.
+inline constexpr std::size_t kMaxOfferedManifestBytes = 24U * 1024;
+
+}  // namespace geraniumspread::fleet
+
+#endif  // FLEET_PEER_MESSAGES_H_
