Add fleet membership, peer codec, gossip and configuration reader

Cause: routers need one view of their members and an authenticated control channel that spreads configuration and quarantine. The mutation test found that OpenSSL reads a base64 padding character in the middle as zero; the codec now refuses it.

--- a/src/engines/kv_moves.h
+++ b/src/engines/kv_moves.h
@@ -14,7 +14,7 @@
   std::string chat;
   std::uint64_t bytes = 0;
   std::uint64_t blocks = 0;
-  TimePoint last_used{};
+  TimePoint last_used;
   // Where placement will send the chat once the engine has left.
   std::string next_engine;
 };
--- a/src/engines/load_reports.h
+++ b/src/engines/load_reports.h
@@ -12,7 +12,7 @@
 
 namespace geraniumspread::engines {
 
-inline constexpr std::size_t kMaxLoadReportBytes = 16U * 1024;
+inline constexpr std::size_t kMaxLoadReportBytes = std::size_t{16} * 1024;
 
 // Parses the body of GET /load. Missing optional fields (adapter, version, role,
 // cold, cold_limit, waiting, cache and first-token values) get the defaults of
@@ -27,11 +27,11 @@
   std::uint32_t own_in_flight = 0;
   // Own requests when the running or last poll was sent.
   std::uint32_t own_at_poll = 0;
-  TimePoint poll_sent_at{};
+  TimePoint poll_sent_at;
   // Last accepted report; `report_asked_at` is when its poll was sent, so the
   // report was made after it.
   std::optional<LoadReport> report;
-  TimePoint report_asked_at{};
+  TimePoint report_asked_at;
   std::uint32_t own_at_report = 0;
   std::uint64_t reports_accepted = 0;
   std::uint64_t reports_rejected = 0;
--- a/src/engines/orders.h
+++ b/src/engines/orders.h
@@ -81,7 +81,7 @@
 struct OrderLease {
   bool held = false;
   std::uint64_t sequence = 0;
-  TimePoint expires_at{};
+  TimePoint expires_at;
 };
 
 // Everything about one engine that the decision needs.
@@ -105,7 +105,7 @@
   Fence fence;
   EngineState state;
   std::uint64_t config_version = 0;
-  TimePoint send_before{};
+  TimePoint send_before;
 };
 
 enum class OrderAnswer : std::uint8_t {
@@ -117,7 +117,7 @@
 // Progress of the orders to one engine.
 struct OrderProgress {
   std::optional<OrderCommand> last;
-  TimePoint sent_at{};
+  TimePoint sent_at;
   std::optional<TimePoint> accepted_at;
   bool waiting_for_answer = false;
   // The engine refused this token; only a higher one may be tried.
@@ -133,7 +133,7 @@
   std::optional<TimePoint> refilled_at;
   // Largest fleet seen within `fleet_shrink_hold`.
   std::uint32_t fleet_size = 0;
-  TimePoint fleet_size_seen{};
+  TimePoint fleet_size_seen;
   std::uint64_t fence_overflows = 0;
 };
 
--- a/src/fleet/config_reader.h
+++ b/src/fleet/config_reader.h
@@ -33,6 +33,10 @@
   double probe_rate = 100;
   Duration backoff_min = std::chrono::milliseconds(500);
   Duration backoff_max = std::chrono::seconds(8);
+  // Least time from the start of one watch to the next. It bounds the reads of
+  // a service that doesn't wait, or that keeps giving a manifest which the
+  // store refuses.
+  Duration watch_pause = std::chrono::seconds(1);
   // An outstanding call is given up this long after its wait.
   Duration call_timeout = std::chrono::seconds(2);
 };
@@ -63,9 +67,9 @@
 struct ConfigReader {
   ConfigReaderSettings settings;
   std::optional<ServiceCall> outstanding;
-  TimePoint outstanding_until{};
-  TimePoint next_call{};
-  TimePoint next_manifest{};
+  TimePoint outstanding_since;
+  TimePoint next_call;
+  TimePoint next_manifest;
   Duration backoff{0};
   std::uint64_t last_call_id = 0;
   std::uint64_t calls = 0;
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -36,6 +36,10 @@
   Duration repair_gap = std::chrono::seconds(1);
   // How long a new router puts its endpoint into its heartbeats.
   Duration announce_endpoint = std::chrono::seconds(30);
+  // A new router serves only after this many peers have announced their
+  // configuration, or after `ask_peers_for` when fewer answer.
+  std::size_t ask_peers = 3;
+  Duration ask_peers_for = std::chrono::seconds(2);
   std::uint64_t max_object_bytes = 1U << 20U;  // manifest or shard
 };
 
@@ -68,36 +72,34 @@
 struct Pull {
   bool is_manifest = false;
   std::string peer;  // asked last
-  TimePoint asked_at{};
+  TimePoint asked_at;
   std::string received;
   std::set<std::string> failed_peers;
 };
 
 struct QuarantineRecord {
   std::uint32_t deaths = 0;
-  TimePoint expires_at{};
-};
-
-// What this router announces about itself; set by the caller before a tick.
-struct SelfReport {
-  RouterState state = RouterState::kStarting;
-  std::vector<PoolLoad> pool_loads;
+  TimePoint expires_at;
 };
 
 struct Gossip {
   GossipSettings settings;
   std::mt19937_64 random;
-  TimePoint started_at{};
-  SelfReport self;
+  TimePoint started_at;
+  // In-flight sums that the next heartbeats carry; set by the caller.
+  std::vector<PoolLoad> pool_loads;
   ConfigReader reader;
-  TimePoint next_heartbeat{};
+  TimePoint next_heartbeat;
   std::size_t domain_cursor = 0;
   ConfigVersion announced;  // last version that was pushed
   // Highest version that a peer announced and this router hasn't got.
   ConfigVersion wanted;
   std::map<std::string, Pull, std::less<>> pulls;  // by digest
   std::set<std::string, std::less<>> refused_digests;
-  std::map<std::string, TimePoint, std::less<>> last_repair;  // by peer
+  // Last announcement of each peer, by heartbeat or offer.
+  std::map<std::string, ConfigVersion, std::less<>> peer_config;
+  std::map<std::string, TimePoint, std::less<>> last_offer;       // by peer
+  std::map<std::string, TimePoint, std::less<>> last_quarantine;  // by peer
   std::map<std::string, QuarantineRecord, std::less<>> quarantine;
   std::vector<std::string> quarantine_news;  // fingerprints to push
   ControlMeter meter;
@@ -131,6 +133,13 @@
                                  const ServiceAnswer& answer,
                                  TimePoint now);
 
+// True once this router may serve: a configuration is in force and the peers were
+// asked. For `ask_peers_for` it also waits for a higher version on its way.
+bool MayServe(const Gossip& gossip,
+              const Membership& membership,
+              const ConfigExchange& exchange,
+              TimePoint now);
+
 // Starts or refreshes a quarantine found by this router. Spread with the next tick.
 void AddQuarantine(Gossip& gossip, const QuarantineEntry& entry, TimePoint now);
 bool IsQuarantined(const Gossip& gossip, std::string_view fingerprint, TimePoint now);
--- a/src/fleet/instance_list.h
+++ b/src/fleet/instance_list.h
@@ -32,7 +32,7 @@
   std::size_t skipped = 0;
 };
 
-inline constexpr std::size_t kMaxInstanceListBytes = 8U * 1024 * 1024;
+inline constexpr std::size_t kMaxInstanceListBytes = std::size_t{8} * 1024 * 1024;
 inline constexpr std::size_t kMaxListedInstances = 20'000;
 
 // Parses the body of GET /v1/instances. Errors: kTooLarge, kMalformed,
--- /dev/null
+++ b/src/fleet/internal/gossip_internal.h
@@ -0,0 +1,45 @@
+#ifndef FLEET_INTERNAL_GOSSIP_INTERNAL_H_
+#define FLEET_INTERNAL_GOSSIP_INTERNAL_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet/gossip.h"
+
+namespace geraniumspread::fleet::detail {
+
+// Arguments that every step of the state machine takes.
+struct GossipStep {
+  Gossip& gossip;
+  const Membership& membership;
+  const ConfigExchange& exchange;
+  TimePoint now;
+  GossipOutput& output;
+};
+
+// Member routers other than this one that can be dialled.
+std::vector<std::string> ReachablePeers(const Membership& membership);
+
+void Send(GossipStep& step, std::string_view to, PeerMessage message);
+
+// Configuration: announcements, offers, requests and parts from peers.
+void NoteAnnouncement(GossipStep& step, std::string_view sender, const ConfigVersion& config);
+void HandleOffer(GossipStep& step, std::string_view sender, const ConfigOffer& offer);
+void HandleRequest(GossipStep& step, std::string_view sender, const ConfigRequest& request);
+void HandlePart(GossipStep& step, std::string_view sender, const ConfigPart& part);
+// Hands bytes from the service to the store.
+void TakeServiceValue(GossipStep& step, const std::string& key, const std::string& value);
+// Starts, continues and ends pulls, and pushes a version that came into force.
+void AdvanceConfig(GossipStep& step);
+// A shard that no peer can give, or empty.
+std::string ShardForService(const Gossip& gossip, const ConfigExchange& exchange);
+
+// Quarantine.
+void MergeQuarantine(GossipStep& step, const Quarantine& message);
+void RepairQuarantine(GossipStep& step, std::string_view peer, std::uint64_t peer_digest);
+void AdvanceQuarantine(GossipStep& step);
+
+}  // namespace geraniumspread::fleet::detail
+
+#endif  // FLEET_INTERNAL_GOSSIP_INTERNAL_H_
--- /dev/null
+++ b/src/fleet/internal/message_json.cc
@@ -0,0 +1,412 @@
+#include "fleet/internal/message_json.h"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace geraniumspread::fleet::detail {
+namespace {
+
+constexpr std::uint64_t kMessageVersion = 1;
+constexpr std::uint64_t kMaxUnsigned = std::numeric_limits<std::uint64_t>::max();
+constexpr std::uint64_t kMaxUnsigned32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t kMaxPort = std::numeric_limits<std::uint16_t>::max();
+// No quarantine lasts longer than a day; the value keeps time sums in range.
+constexpr std::uint64_t kMaxRemainingMs = 24ULL * 3600 * 1000;
+
+// Reads fields of one JSON object and keeps the first error.
+class FieldReader {
+ public:
+  explicit FieldReader(const Json::Value& value) : object(value) {
+    if (!value.isObject()) {
+      this->Fail("parameters", "no object");
+    }
+  }
+
+  std::uint64_t RequiredUnsigned(const char* key, std::uint64_t max = kMaxUnsigned) {
+    if (!this->Has(key)) {
+      this->Fail(key, "missing");
+      return 0;
+    }
+    return this->Unsigned(key, 0, max);
+  }
+
+  std::uint64_t Unsigned(const char* key, std::uint64_t missing, std::uint64_t max = kMaxUnsigned) {
+    if (!this->Has(key)) {
+      return missing;
+    }
+    const Json::Value& field = this->object[key];
+    if (!field.isUInt64() || field.asUInt64() > max) {
+      this->Fail(key, "no whole number in range");
+      return missing;
+    }
+    return field.asUInt64();
+  }
+
+  std::string RequiredId(const char* key) {
+    std::string text = this->Text(key, kMaxIdBytes);
+    if (!this->error && !IsValidId(text)) {
+      this->Fail(key, "no valid id");
+    }
+    return text;
+  }
+
+  // Text up to `limit` bytes; empty when it is missing.
+  std::string Text(const char* key, std::size_t limit) {
+    if (!this->Has(key)) {
+      return {};
+    }
+    const Json::Value& field = this->object[key];
+    if (!field.isString()) {
+      this->Fail(key, "no string");
+      return {};
+    }
+    std::string text = field.asString();
+    if (text.size() > limit) {
+      this->Fail(key, "too long");
+      return {};
+    }
+    return text;
+  }
+
+  // The list under `key`, or an empty one when it is missing.
+  const Json::Value& List(const char* key, std::size_t limit) {
+    static const Json::Value kEmpty(Json::arrayValue);
+    if (!this->Has(key)) {
+      return kEmpty;
+    }
+    const Json::Value& field = this->object[key];
+    if (!field.isArray() || field.size() > limit) {
+      this->Fail(key, "no list within its limit");
+      return kEmpty;
+    }
+    return field;
+  }
+
+  std::vector<std::string> Ids(const char* key, std::size_t limit) {
+    std::vector<std::string> ids;
+    for (const Json::Value& entry : this->List(key, limit)) {
+      if (!entry.isString() || !IsValidId(entry.asString())) {
+        this->Fail(key, "holds an invalid id");
+        return {};
+      }
+      ids.push_back(entry.asString());
+    }
+    return ids;
+  }
+
+  bool Has(const char* key) const {
+    return this->object.isObject() && this->object.isMember(key) && !this->object[key].isNull();
+  }
+
+  void Fail(const char* key, const char* reason) {
+    if (!this->error) {
+      this->error = FleetError{FleetErrorCode::kInvalidField, std::string(key) + ": " + reason};
+    }
+  }
+
+  void Take(FieldReader& nested) {
+    if (!this->error) {
+      this->error = std::move(nested.error);
+    }
+  }
+
+  const Json::Value& object;
+  std::optional<FleetError> error;
+};
+
+std::string Base64Encode(const std::string& bytes) {
+  std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                     reinterpret_cast<const unsigned char*>(bytes.data()),
+                                     static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(length));
+  return text;
+}
+
+std::optional<std::string> Base64Decode(const std::string& text) {
+  if (text.size() % 4 != 0) {
+    return std::nullopt;
+  }
+  const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with('=') ? 1 : 0);
+  // OpenSSL takes a padding character in the middle for a zero.
+  if (text.find('=') < text.size() - padding) {
+    return std::nullopt;
+  }
+  std::string bytes(text.size() / 4 * 3, '\0');
+  const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                                     reinterpret_cast<const unsigned char*>(text.data()),
+                                     static_cast<int>(text.size()));
+  if (length < 0 || static_cast<std::size_t>(length) != bytes.size()) {
+    return std::nullopt;
+  }
+  bytes.resize(bytes.size() - padding);
+  return bytes;
+}
+
+void WriteConfig(Json::Value& object, const ConfigVersion& config) {
+  if (config.version != 0) {
+    object["config_version"] = Json::UInt64(config.version);
+    object["config_digest"] = config.digest;
+  }
+}
+
+ConfigVersion ReadConfig(FieldReader& reader) {
+  ConfigVersion config;
+  config.version = reader.Unsigned("config_version", 0);
+  config.digest = reader.Text("config_digest", kMaxIdBytes);
+  if ((config.version == 0) != config.digest.empty()) {
+    reader.Fail("config_digest", "doesn't go with config_version");
+  }
+  return config;
+}
+
+Json::Value IdList(const std::vector<std::string>& ids) {
+  Json::Value list(Json::arrayValue);
+  for (const std::string& id : ids) {
+    list.append(id);
+  }
+  return list;
+}
+
+RouterState ParseRouterState(const std::string& text) {
+  for (const RouterState state : {RouterState::kServing, RouterState::kDraining}) {
+    if (ToString(state) == text) {
+      return state;
+    }
+  }
+  // Also for a state of a later version: such a router is no candidate owner.
+  return RouterState::kStarting;
+}
+
+Json::Value Write(const Heartbeat& message) {
+  Json::Value object(Json::objectValue);
+  object["incarnation"] = Json::UInt64(message.incarnation);
+  object["domain"] = message.failure_domain;
+  object["state"] = std::string(ToString(message.state));
+  WriteConfig(object, message.config);
+  for (const PoolLoad& load : message.pool_loads) {
+    object["pools"][load.pool] = Json::UInt(load.in_flight);
+  }
+  if (message.quarantine_digest != 0) {
+    object["quarantine"] = Json::UInt64(message.quarantine_digest);
+  }
+  if (message.endpoint) {
+    Json::Value& endpoint = object["endpoint"];
+    endpoint["address"] = message.endpoint->address;
+    endpoint["port"] = message.endpoint->port;
+    endpoint["peer_port"] = message.endpoint->peer_port;
+    endpoint["control_port"] = message.endpoint->control_port;
+  }
+  return object;
+}
+
+Json::Value Write(const LeaseRequest& message) {
+  Json::Value object(Json::objectValue);
+  object["number"] = Json::UInt64(message.request_number);
+  object["members"] = Json::UInt(message.member_count);
+  object["upstreams"] = IdList(message.upstreams);
+  return object;
+}
+
+Json::Value Write(const LeaseReply& message) {
+  Json::Value object(Json::objectValue);
+  object["number"] = Json::UInt64(message.request_number);
+  object["granted"] = IdList(message.granted);
+  object["refused"] = IdList(message.refused);
+  return object;
+}
+
+Json::Value Write(const LeaseRelease& message) {
+  Json::Value object(Json::objectValue);
+  object["number"] = Json::UInt64(message.request_number);
+  object["upstreams"] = IdList(message.upstreams);
+  return object;
+}
+
+Json::Value Write(const ConfigOffer& message) {
+  Json::Value object(Json::objectValue);
+  WriteConfig(object, message.config);
+  if (message.manifest) {
+    object["manifest"] = Base64Encode(*message.manifest);
+  }
+  return object;
+}
+
+Json::Value Write(const ConfigRequest& message) {
+  Json::Value object(Json::objectValue);
+  object["digest"] = message.digest;
+  object["offset"] = Json::UInt64(message.offset);
+  return object;
+}
+
+Json::Value Write(const ConfigPart& message) {
+  Json::Value object(Json::objectValue);
+  object["digest"] = message.digest;
+  object["offset"] = Json::UInt64(message.offset);
+  object["total"] = Json::UInt64(message.total);
+  object["bytes"] = Base64Encode(message.bytes);
+  return object;
+}
+
+Json::Value Write(const Quarantine& message) {
+  Json::Value object(Json::objectValue);
+  Json::Value& entries = object["entries"] = Json::Value(Json::arrayValue);
+  for (const QuarantineEntry& entry : message.entries) {
+    Json::Value item(Json::objectValue);
+    item["fingerprint"] = entry.fingerprint;
+    item["deaths"] = Json::UInt(entry.deaths);
+    item["remaining_ms"] = Json::Int64(entry.remaining.count());
+    entries.append(std::move(item));
+  }
+  return object;
+}
+
+Endpoint ReadEndpoint(FieldReader& parent) {
+  FieldReader reader(parent.object["endpoint"]);
+  Endpoint endpoint;
+  endpoint.address = reader.RequiredId("address");
+  endpoint.port = static_cast<std::uint16_t>(reader.RequiredUnsigned("port", kMaxPort));
+  endpoint.peer_port = static_cast<std::uint16_t>(reader.RequiredUnsigned("peer_port", kMaxPort));
+  endpoint.control_port =
+      static_cast<std::uint16_t>(reader.RequiredUnsigned("control_port", kMaxPort));
+  parent.Take(reader);
+  return endpoint;
+}
+
+std::vector<PoolLoad> ReadPoolLoads(FieldReader& parent) {
+  std::vector<PoolLoad> loads;
+  if (!parent.Has("pools")) {
+    return loads;
+  }
+  FieldReader reader(parent.object["pools"]);
+  if (reader.error || reader.object.size() > kMaxPoolLoads) {
+    parent.Fail("pools", "no object within its limit");
+    return loads;
+  }
+  for (const std::string& pool : reader.object.getMemberNames()) {
+    const auto in_flight =
+        static_cast<std::uint32_t>(reader.RequiredUnsigned(pool.c_str(), kMaxUnsigned32));
+    if (!IsValidId(pool)) {
+      reader.Fail("pools", "holds an invalid id");
+    }
+    loads.push_back({pool, in_flight});
+  }
+  parent.Take(reader);
+  return loads;
+}
+
+void Read(FieldReader& reader, Heartbeat& message) {
+  message.incarnation = reader.RequiredUnsigned("incarnation");
+  message.failure_domain = reader.RequiredId("domain");
+  message.state = ParseRouterState(reader.Text("state", kMaxIdBytes));
+  message.config = ReadConfig(reader);
+  message.pool_loads = ReadPoolLoads(reader);
+  message.quarantine_digest = reader.Unsigned("quarantine", 0);
+  if (reader.Has("endpoint")) {
+    message.endpoint = ReadEndpoint(reader);
+  }
+}
+
+void Read(FieldReader& reader, LeaseRequest& message) {
+  message.request_number = reader.RequiredUnsigned("number");
+  message.member_count =
+      static_cast<std::uint32_t>(reader.RequiredUnsigned("members", kMaxUnsigned32));
+  message.upstreams = reader.Ids("upstreams", kMaxLeaseUpstreams);
+}
+
+void Read(FieldReader& reader, LeaseReply& message) {
+  message.request_number = reader.RequiredUnsigned("number");
+  message.granted = reader.Ids("granted", kMaxLeaseUpstreams);
+  message.refused = reader.Ids("refused", kMaxLeaseUpstreams);
+}
+
+void Read(FieldReader& reader, LeaseRelease& message) {
+  message.request_number = reader.RequiredUnsigned("number");
+  message.upstreams = reader.Ids("upstreams", kMaxLeaseUpstreams);
+}
+
+void Read(FieldReader& reader, ConfigOffer& message) {
+  message.config = ReadConfig(reader);
+  if (!reader.error && message.config.version == 0) {
+    reader.Fail("config_version", "missing");
+  }
+  if (!reader.Has("manifest")) {
+    return;
+  }
+  auto manifest = Base64Decode(reader.Text("manifest", kMaxOfferedManifestBytes * 2));
+  if (!manifest) {
+    reader.Fail("manifest", "no base64");
+    return;
+  }
+  message.manifest = std::move(*manifest);
+}
+
+void Read(FieldReader& reader, ConfigRequest& message) {
+  message.digest = reader.RequiredId("digest");
+  message.offset = reader.Unsigned("offset", 0);
+}
+
+void Read(FieldReader& reader, ConfigPart& message) {
+  message.digest = reader.RequiredId("digest");
+  message.offset = reader.Unsigned("offset", 0);
+  message.total = reader.RequiredUnsigned("total");
+  auto bytes = Base64Decode(reader.Text("bytes", kMaxPartBytes * 2));
+  if (!bytes || bytes->size() > kMaxPartBytes) {
+    reader.Fail("bytes", "no base64 within its limit");
+    return;
+  }
+  message.bytes = std::move(*bytes);
+}
+
+void Read(FieldReader& reader, Quarantine& message) {
+  for (const Json::Value& item : reader.List("entries", kMaxQuarantineEntries)) {
+    FieldReader nested(item);
+    QuarantineEntry entry;
+    entry.fingerprint = nested.RequiredId("fingerprint");
+    entry.deaths = static_cast<std::uint32_t>(nested.RequiredUnsigned("deaths", kMaxUnsigned32));
+    entry.remaining = std::chrono::milliseconds(
+        static_cast<std::int64_t>(nested.RequiredUnsigned("remaining_ms", kMaxRemainingMs)));
+    reader.Take(nested);
+    message.entries.push_back(std::move(entry));
+  }
+}
+
+}  // namespace
+
+Json::Value ToParameters(const PeerMessage& message) {
+  Json::Value object = std::visit([](const auto& typed) { return Write(typed); }, message);
+  object["v"] = Json::UInt64(kMessageVersion);
+  return object;
+}
+
+template <typename Message>
+Result<Message> FromParameters(const Json::Value& parameters) {
+  FieldReader reader(parameters);
+  // Later versions only add optional fields, so every `v` from 1 on is read.
+  if (reader.Unsigned("v", kMessageVersion) < kMessageVersion) {
+    return FleetError{FleetErrorCode::kUnsupportedVersion, "v is below 1"};
+  }
+  Message message;
+  if (!reader.error) {
+    Read(reader, message);
+  }
+  if (reader.error) {
+    return std::move(*reader.error);
+  }
+  return message;
+}
+
+template Result<Heartbeat> FromParameters<Heartbeat>(const Json::Value&);
+template Result<LeaseRequest> FromParameters<LeaseRequest>(const Json::Value&);
+template Result<LeaseReply> FromParameters<LeaseReply>(const Json::Value&);
+template Result<LeaseRelease> FromParameters<LeaseRelease>(const Json::Value&);
+template Result<ConfigOffer> FromParameters<ConfigOffer>(const Json::Value&);
+template Result<ConfigRequest> FromParameters<ConfigRequest>(const Json::Value&);
+template Result<ConfigPart> FromParameters<ConfigPart>(const Json::Value&);
+template Result<Quarantine> FromParameters<Quarantine>(const Json::Value&);
+
+}  // namespace geraniumspread::fleet::detail
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -25,6 +25,9 @@
   int flap_limit = 3;
   Duration flap_hold = std::chrono::seconds(10);
   Duration flap_hold_max = std::chrono::seconds(80);
+  // A router that was heard before and is silent for this long is no candidate
+  // for new ownership, even while the lagging list still names it.
+  Duration silent_after = std::chrono::seconds(3);
   // A list that removes more than half of the routers or upstreams is applied
   // only after the platform has repeated such lists for this long.
   Duration list_confirm = std::chrono::seconds(30);
@@ -33,8 +36,8 @@
 // Recent changes of a member, for flap damping.
 struct FlapRecord {
   int changes = 0;
-  TimePoint window_start{};
-  TimePoint damped_until{};
+  TimePoint window_start;
+  TimePoint damped_until;
 };
 
 struct RouterMember {
@@ -43,15 +46,16 @@
   Endpoint endpoint;  // empty address: not known yet, can't be dialled
   std::uint64_t incarnation = 0;
   RouterState state = RouterState::kStarting;
+  // Counts for majorities. False once neither listed nor heard for
+  // `member_hold`; the record is kept longer for its incarnation and flaps.
+  bool member = true;
   bool listed = false;   // in the last list that was applied
   bool leaving = false;  // listed as leaving
-  TimePoint last_listed{};
+  TimePoint last_listed;
   std::optional<TimePoint> last_heard;
   FlapRecord flaps;
   // From the last heartbeat of the current incarnation.
-  ConfigVersion config;
   std::vector<PoolLoad> pool_loads;
-  std::uint64_t quarantine_digest = 0;
 };
 
 struct UpstreamMember {
@@ -63,7 +67,7 @@
   std::uint64_t incarnation = 0;
   bool listed = false;
   bool leaving = false;
-  TimePoint last_listed{};
+  TimePoint last_listed;
   FlapRecord flaps;
 };
 
@@ -120,6 +124,16 @@
                                                  std::uint64_t incarnation,
                                                  TimePoint now);
 
+// Records any other authenticated frame from a known router. Frames of an older
+// or unknown incarnation and of unknown routers change nothing.
+void NoteHeard(Membership& membership,
+               std::string_view sender,
+               std::uint64_t incarnation,
+               TimePoint now);
+
+// Sets the state that this router announces in its heartbeats.
+void SetSelfState(Membership& membership, RouterState state);
+
 // Drops members that were neither listed nor heard within `member_hold`.
 MembershipChange ExpireMembers(Membership& membership, TimePoint now);
 
@@ -131,9 +145,9 @@
 std::vector<const RouterMember*> DomainRouters(const Membership& membership,
                                                std::string_view failure_domain);
 
-// True when the router may be a candidate for new ownership: not draining,
-// not leaving, not damped.
-bool IsCandidate(const RouterMember& router, TimePoint now);
+// True when the router may be a candidate for new ownership: heard within
+// `silent_after` as serving, not leaving, not damped.
+bool IsCandidate(const Membership& membership, const RouterMember& router, TimePoint now);
 
 // True when the upstream may get new work: listed, not leaving, not damped.
 bool IsUsable(const UpstreamMember& upstream, TimePoint now);
--- a/src/fleet/peer_codec.h
+++ b/src/fleet/peer_codec.h
@@ -17,7 +17,7 @@
 // Frame: payload length (4 bytes, big-endian) | length of the sender id (1) |
 // sender id | incarnation (8) | sequence (8) | MAC (16) | JSON-RPC payload.
 // The MAC is the truncated HMAC-SHA256 over all other bytes of the frame.
-inline constexpr std::size_t kMaxFrameBytes = 64U * 1024;
+inline constexpr std::size_t kMaxFrameBytes = std::size_t{64} * 1024;
 inline constexpr std::size_t kFrameMacBytes = 16;
 // Bytes needed before the length of a frame is known.
 inline constexpr std::size_t kFramePrefixBytes = 5;
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -122,9 +122,10 @@
 inline constexpr std::size_t kMaxLeaseUpstreams = 400;
 inline constexpr std::size_t kMaxQuarantineEntries = 128;
 // Raw bytes of a part; with base64 and the envelope it stays below a frame.
-inline constexpr std::size_t kMaxPartBytes = 40U * 1024;
-// A manifest up to this size travels inside its offer.
-inline constexpr std::size_t kMaxOfferedManifestBytes = 24U * 1024;
+inline constexpr std::size_t kMaxPartBytes = std::size_t{40} * 1024;
+// A manifest up to this size travels inside its offer. A router gets about four
+// offers of each change, so larger manifests are cheaper to pull once.
+inline constexpr std::size_t kMaxOfferedManifestBytes = std::size_t{2} * 1024;
 
 }  // namespace geraniumspread::fleet
 
