--- a/src/fleet/internal/peer_codec.cc
+++ b/src/fleet/internal/peer_codec.cc
@@ -94,7 +94,7 @@
   if (!length) {
     return length.error();
   }
-  if (length.value().value_or(0) != frame.size()) {
+  if (frame.empty() || length.value().value_or(0) != frame.size()) {
     return FleetError{FleetErrorCode::kMalformed, "the frame's length doesn't match its bytes"};
   }
   const FrameView view = SplitFrame(frame);
