--- /dev/null
+++ b/src/admission/owner_queue.h
@@ -0,0 +1,122 @@
+#ifndef ADMISSION_OWNER_QUEUE_H_
+#define ADMISSION_OWNER_QUEUE_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "admission/admission_types.h"
+
+namespace geraniumspread::admission {
+
+struct QueuePolicy {
+  std::uint32_t max_queued = 256;
+  std::uint32_t max_per_workspace = 64;
+  Duration max_expected_wait = std::chrono::seconds(30);
+  // Least part of the dispatches that a class gets while it has work, by PriorityClass. The most
+  // urgent class needs none. The sum must be below 1.
+  std::array<double, kPriorityClassCount> guaranteed_share = {0.0, 0.2, 0.2, 0.1};
+  // Places in a full queue from which batch work is not shed, as a part of max_queued. Without
+  // them, a surge of urgent work would shed batch work again and again.
+  double batch_reserved_part = 0.1;
+  // Weight of the newest run in the estimates of run times.
+  double run_time_gain = 0.1;
+  bool fair_between_workspaces = true;
+  bool guarantee_shares = true;
+  bool shed_by_deadline = true;
+  bool shed_least_urgent = true;
+};
+
+struct QueuedRequest {
+  RequestHandle request = 0;
+  WorkspaceKey workspace = 0;
+  PriorityClass priority = PriorityClass::kDraft;
+  TimePoint deadline = TimePoint::max();
+  // Work of the request in any unit that is the same for all requests of the queue.
+  float cost = 1;
+  // Weight of the workspace in fair queueing.
+  float weight = 1;
+};
+
+// Backlog of one workspace in one class, for start-time fair queueing.
+struct WorkspaceFlow {
+  WorkspaceKey workspace = 0;
+  PriorityClass priority = PriorityClass::kDraft;
+  std::uint32_t queued = 0;
+  // Virtual time at which the next request of this flow starts.
+  double start_tag = 0;
+};
+
+// Run times seen at the upstream, per class.
+struct RunTimeEstimate {
+  Duration mean{0};
+  // Follows the shortest runs: falls at once, rises slowly.
+  Duration fastest{0};
+  bool known = false;
+};
+
+struct OwnerQueue {
+  QueuePolicy policy;
+  // In order of arrival.
+  std::vector<QueuedRequest> waiting;
+  std::vector<WorkspaceFlow> flows;
+  std::array<std::uint32_t, kPriorityClassCount> queued{};
+  std::array<double, kPriorityClassCount> virtual_time{};
+  // Dispatches that a class is owed from its guaranteed share.
+  std::array<double, kPriorityClassCount> credit{};
+  std::array<RunTimeEstimate, kPriorityClassCount> run_time{};
+  // In-flight limit of the upstream, for estimates of the wait.
+  std::uint32_t slots = 1;
+  // Set while draining: the time at which queued work is refused.
+  std::optional<TimePoint> stop_at;
+};
+
+// A queued request that left the queue without being dispatched.
+struct ShedRequest {
+  QueuedRequest request;
+  Refusal refusal;
+};
+
+struct EnqueueDecision {
+  // Set when the new request was not queued.
+  std::optional<Refusal> refusal;
+  // Work that gave up its place to the new request.
+  std::optional<ShedRequest> shed;
+};
+
+struct DispatchDecision {
+  std::optional<QueuedRequest> request;
+  // Work whose deadline passed while it waited.
+  std::vector<ShedRequest> shed;
+};
+
+OwnerQueue MakeOwnerQueue(const QueuePolicy& policy);
+
+// Tells the queue the in-flight limit of the upstream. Call when it changes.
+void SetSlots(OwnerQueue& queue, std::uint32_t slots);
+// Tells the queue how long a dispatched request ran.
+void NoteRunTime(OwnerQueue& queue, PriorityClass priority, Duration run_time);
+
+// Queues the request or refuses it at once.
+EnqueueDecision Enqueue(OwnerQueue& queue, const QueuedRequest& request, TimePoint now);
+// The request that a free slot goes to. Call once per free slot.
+DispatchDecision NextToDispatch(OwnerQueue& queue, TimePoint now);
+// Work whose deadline can no longer be met, and all work once a drain has reached its deadline.
+std::vector<ShedRequest> ExpireQueued(OwnerQueue& queue, TimePoint now);
+// Removes a request whose caller left. False when it isn't queued.
+bool CancelQueued(OwnerQueue& queue, RequestHandle request);
+// Graceful stop: nothing new is queued; queued work is still dispatched until `stop_at`, when
+// ExpireQueued refuses the rest as not run.
+void BeginDrain(OwnerQueue& queue, TimePoint stop_at);
+// True when a drain has nothing left to dispatch.
+bool DrainFinished(const OwnerQueue& queue);
+// Refuses everything at once: lease lost, failure domain out of service, upstream leaving.
+std::vector<ShedRequest> RefuseAll(OwnerQueue& queue, RefusalCode code);
+
+// Time until a request like this would be dispatched if it were queued now.
+Duration ExpectedWait(const OwnerQueue& queue, WorkspaceKey workspace, PriorityClass priority);
+
+}  // namespace geraniumspread::admission
+
+#endif  // ADMISSION_OWNER_QUEUE_H_
--- /dev/null
+++ b/src/admission/retry_budget.h
@@ -0,0 +1,68 @@
+#ifndef ADMISSION_RETRY_BUDGET_H_
+#define ADMISSION_RETRY_BUDGET_H_
+
+#include <cstdint>
+
+#include "admission/admission_types.h"
+
+namespace geraniumspread::admission {
+
+struct RetryPolicy {
+  // Tokens that each first attempt adds; a retry takes one token.
+  double ratio = 0.1;
+  // Most tokens that can be saved up. It bounds the burst of retries when an upstream or a failure
+  // domain returns.
+  double max_tokens = 20;
+  // Tokens at the start, so that a quiet router can retry at all.
+  double initial_tokens = 5;
+  // Attempts of one request, the first included.
+  std::uint32_t max_attempts = 3;
+  // The delay before retry n is drawn from [0, min(max_delay, base_delay * 2^n)].
+  Duration base_delay = std::chrono::milliseconds(25);
+  Duration max_delay = std::chrono::seconds(2);
+  bool enforce_budget = true;
+};
+
+// One per router and pool.
+struct RetryBudget {
+  RetryPolicy policy;
+  double tokens = 0;
+};
+
+struct RetryQuestion {
+  RequestHandle request = 0;
+  // Attempts made so far.
+  std::uint32_t attempts = 1;
+  bool idempotent = false;
+  RunState ran = RunState::kUnknown;
+  TimePoint deadline = TimePoint::max();
+  // Shortest time in which an answer may be expected.
+  Duration expected_run{0};
+  // Seed of the jitter; the same seed, request and attempt give the same delay.
+  std::uint64_t seed = 0;
+};
+
+enum class RetryVerdict : std::uint8_t {
+  kRetry,
+  kNotRepeatable,
+  kAttemptsUsed,
+  kDeadline,
+  kBudgetEmpty,
+};
+
+struct RetryDecision {
+  RetryVerdict verdict = RetryVerdict::kNotRepeatable;
+  // Wait before the retry. Zero unless `verdict` is kRetry.
+  Duration delay{0};
+};
+
+RetryBudget MakeRetryBudget(const RetryPolicy& policy);
+// Counts a first attempt.
+void NoteFirstAttempt(RetryBudget& budget);
+// Takes a token when the answer is kRetry. Work that is not idempotent is retried only when it
+// provably did not run.
+RetryDecision DecideRetry(RetryBudget& budget, const RetryQuestion& question, TimePoint now);
+
+}  // namespace geraniumspread::admission
+
+#endif  // ADMISSION_RETRY_BUDGET_H_
--- /dev/null
+++ b/src/outcomes/quarantine.h
@@ -0,0 +1,110 @@
+#ifndef OUTCOMES_QUARANTINE_H_
+#define OUTCOMES_QUARANTINE_H_
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "outcomes/outcomes_types.h"
+
+namespace geraniumspread::outcomes {
+
+// First 128 bits of the SHA-256 over workspace, model and body. A plain hash would let one
+// workspace build a body that gets another workspace's request quarantined.
+struct Fingerprint {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+  auto operator<=>(const Fingerprint&) const = default;
+};
+struct FingerprintHash {
+  std::size_t operator()(const Fingerprint& fingerprint) const { return fingerprint.low; }
+};
+
+Fingerprint FingerprintOf(std::string_view workspace,
+                          std::string_view model,
+                          std::string_view body);
+// 32 lower-case hexadecimal characters.
+std::string ToHex(const Fingerprint& fingerprint);
+std::optional<Fingerprint> ParseFingerprint(std::string_view text);
+
+struct QuarantinePolicy {
+  std::uint32_t deaths_to_quarantine = 2;
+  Duration quarantine_time = std::chrono::minutes(10);
+  // Time after which a suspicion without a further death is forgotten.
+  Duration suspicion_time = std::chrono::minutes(10);
+  // A crash is seen by its connections and again by the new incarnation. Deaths of one upstream
+  // within this time count once.
+  Duration same_crash_window = std::chrono::seconds(5);
+  std::size_t max_entries = 4'096;
+  bool enabled = true;
+  // Off only in tests: counts every suspicion as a death.
+  bool spare_bystanders = true;
+};
+
+// Counts by one router; the sum over routers decides.
+struct DeathCount {
+  // StableHash of the reporting router's instance id; 0 when the row is free.
+  std::uint64_t reporter = 0;
+  std::uint32_t suspicions = 0;
+  std::uint32_t deaths = 0;
+};
+// Two deaths quarantine a request, so few reporters matter.
+inline constexpr std::size_t kMaxReporters = 4;
+
+struct SuspectEntry {
+  std::array<DeathCount, kMaxReporters> counts{};
+  TimePoint expires_at;
+  bool quarantined = false;
+  std::uint64_t last_upstream = 0;
+  TimePoint last_death_at;
+};
+
+struct QuarantineTable {
+  QuarantinePolicy policy;
+  std::uint64_t self = 0;
+  std::unordered_map<Fingerprint, SuspectEntry, FingerprintHash> entries;
+};
+
+// Content of the `quarantine` message.
+struct QuarantineReport {
+  Fingerprint fingerprint;
+  std::uint64_t reporter = 0;
+  std::uint32_t suspicions = 0;
+  std::uint32_t deaths = 0;
+  bool quarantined = false;
+  Duration remaining{0};
+};
+
+// `self` is the StableHash of this router's instance id.
+QuarantineTable MakeQuarantineTable(const QuarantinePolicy& policy, std::uint64_t self);
+// An upstream died with these requests in flight. Returns what peers must hear. Call when all
+// connections of an upstream die or its incarnation changes, not for a single lost connection.
+std::vector<QuarantineReport> NoteUpstreamDeath(QuarantineTable& table,
+                                                std::uint64_t upstream,
+                                                std::span<const Fingerprint> in_flight,
+                                                TimePoint now);
+// The request got a complete answer: this router's suspicions against it are dropped. A quarantine
+// stays.
+void NoteCompleted(QuarantineTable& table, const Fingerprint& fingerprint);
+// The error for a quarantined request. Such a request is not run.
+std::optional<OutcomeError> CheckQuarantine(const QuarantineTable& table,
+                                            const Fingerprint& fingerprint,
+                                            TimePoint now);
+// True for a request that was in flight at a death and may be retried. Place it where no other
+// suspected request is in flight, so that the next death tells them apart.
+bool IsSuspected(const QuarantineTable& table, const Fingerprint& fingerprint, TimePoint now);
+// True when the report changed the table and should be passed on.
+bool MergeReport(QuarantineTable& table, const QuarantineReport& report, TimePoint now);
+// All current entries, for a peer that joins.
+std::vector<QuarantineReport> ReportsOf(const QuarantineTable& table, TimePoint now);
+void TickQuarantine(QuarantineTable& table, TimePoint now);
+
+}  // namespace geraniumspread::outcomes
+
+#endif  // OUTCOMES_QUARANTINE_H_
--- /dev/null
+++ b/src/outcomes/silence.h
@@ -0,0 +1,69 @@
+#ifndef OUTCOMES_SILENCE_H_
+#define OUTCOMES_SILENCE_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "outcomes/exchange.h"
+
+namespace geraniumspread::outcomes {
+
+// Longest time without progress, per phase of an exchange.
+struct ProgressPolicy {
+  Duration connect = std::chrono::milliseconds(500);
+  Duration write = std::chrono::seconds(2);
+  // Covers the queue of the engine as well as the first token.
+  Duration first_byte = std::chrono::seconds(10);
+  Duration between_bytes = std::chrono::seconds(3);
+  // Wait before the first probe of a down upstream; doubles up to max_probe_delay.
+  Duration probe_delay = std::chrono::milliseconds(500);
+  Duration max_probe_delay = std::chrono::seconds(8);
+  // Off only in tests: a silent connection marks the upstream down at once.
+  bool try_fresh_connection = true;
+};
+
+// Progress of one exchange.
+struct ProgressTimer {
+  TimePoint last_progress;
+  ExchangePhase phase = ExchangePhase::kNew;
+};
+
+// Call on every phase change and on every byte read or written.
+void NoteProgress(ProgressTimer& timer, ExchangePhase phase, TimePoint now);
+// When the exchange times out unless it progresses. TimePoint::max() when nothing is awaited.
+TimePoint TimesOutAt(const ProgressTimer& timer, const ProgressPolicy& policy);
+bool IsSilent(const ProgressTimer& timer, const ProgressPolicy& policy, TimePoint now);
+
+enum class Reachability : std::uint8_t { kUp, kChecking, kDown };
+
+// One per upstream.
+struct UpstreamReach {
+  ProgressPolicy policy;
+  Reachability state = Reachability::kUp;
+  // A fresh connection is being tried.
+  bool fresh_pending = false;
+  std::uint32_t failed_probes = 0;
+  TimePoint next_probe_at;
+};
+
+enum class ReachAction : std::uint8_t {
+  kNone,
+  // Open a new connection and send a GET (or an idempotent request) on it. The idle connections of
+  // the upstream must not be used for this, as they may be silent too.
+  kTryFreshConnection,
+  kMarkDown,
+  kMarkUp,
+};
+
+// An exchange on this upstream timed out or its connection was lost.
+ReachAction OnConnectionLost(UpstreamReach& reach, TimePoint now);
+// The fresh connection got a first byte of an answer within its timeouts.
+ReachAction OnFreshAnswered(UpstreamReach& reach);
+// The fresh connection could not be opened, or was silent as well.
+ReachAction OnFreshFailed(UpstreamReach& reach, TimePoint now);
+// Asks for the next probe of a down upstream when it is due.
+ReachAction TickReach(UpstreamReach& reach, TimePoint now);
+
+}  // namespace geraniumspread::outcomes
+
+#endif  // OUTCOMES_SILENCE_H_
