Add workspace limits, owner queue and retry budget

Workspace limits are divided equally over the live routers; a share falls at once and rises after share_hold, and unused share moves by loans with a term. The owner queue serves classes by urgency with guaranteed shares and workspaces by start-time fair queueing. Each test runs with its mechanism off as well and expects the fault then.

--- a/src/admission/owner_queue.h
+++ b/src/admission/owner_queue.h
@@ -12,8 +12,12 @@
 
 struct QueuePolicy {
   std::uint32_t max_queued = 256;
+  // Per workspace and class, so that a workspace's batch work leaves room for its suggestions.
   std::uint32_t max_per_workspace = 64;
-  Duration max_expected_wait = std::chrono::seconds(30);
+  // Longest expected wait with which a request is still queued, by PriorityClass.
+  std::array<Duration, kPriorityClassCount> max_expected_wait = {
+      std::chrono::seconds(2), std::chrono::seconds(5), std::chrono::seconds(30),
+      std::chrono::minutes(10)};
   // Least part of the dispatches that a class gets while it has work, by PriorityClass. The most
   // urgent class needs none. The sum must be below 1.
   std::array<double, kPriorityClassCount> guaranteed_share = {0.0, 0.2, 0.2, 0.1};
--- /dev/null
+++ b/src/admission/tests/owner_queue_test.cc
@@ -0,0 +1,260 @@
+#include "admission/owner_queue.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace geraniumspread::admission {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(1'000)};
+
+QueuedRequest Request(RequestHandle handle,
+                      WorkspaceKey workspace,
+                      PriorityClass priority = PriorityClass::kDraft) {
+  return {.request = handle, .workspace = workspace, .priority = priority};
+}
+
+// Counts the dispatches per workspace until `rounds` slots were free.
+std::map<WorkspaceKey, int> DispatchPerWorkspace(OwnerQueue& queue, int rounds) {
+  std::map<WorkspaceKey, int> counts;
+  for (int round = 0; round < rounds; ++round) {
+    if (const auto next = NextToDispatch(queue, kStart); next.request) {
+      counts[next.request->workspace] += 1;
+    }
+  }
+  return counts;
+}
+
+// Dispatches of 20 slots, with 40 requests of workspace 1 ahead of 10 of workspace 2.
+int DispatchesBesideSurge(bool fair) {
+  OwnerQueue queue = MakeOwnerQueue({.fair_between_workspaces = fair});
+  for (RequestHandle handle = 0; handle < 50; ++handle) {
+    Enqueue(queue, Request(handle, handle < 40 ? 1 : 2), kStart);
+  }
+  return DispatchPerWorkspace(queue, 20)[2];
+}
+
+// Guards against a workspace that waits behind the whole backlog of another one.
+BOOST_AUTO_TEST_CASE(SurgeOfOneWorkspaceDoesNotDelayAnother) {
+  BOOST_TEST(DispatchesBesideSurge(true) == 10);
+  BOOST_TEST(DispatchesBesideSurge(false) == 0);
+}
+
+// Guards against a workspace that saves up a share while it is idle, or pays for cancelled work.
+BOOST_AUTO_TEST_CASE(IdleAndCancelledWorkChangesNoShare) {
+  OwnerQueue queue = MakeOwnerQueue({});
+  for (RequestHandle handle = 0; handle < 20; ++handle) {
+    Enqueue(queue, Request(handle, 1), kStart);
+  }
+  DispatchPerWorkspace(queue, 10);
+  for (RequestHandle handle = 100; handle < 130; ++handle) {
+    Enqueue(queue, Request(handle, 2), kStart);
+  }
+  for (RequestHandle handle = 100; handle < 120; ++handle) {
+    BOOST_TEST(CancelQueued(queue, handle));
+  }
+  BOOST_TEST(!CancelQueued(queue, 100));
+  auto counts = DispatchPerWorkspace(queue, 10);
+  BOOST_TEST(counts[1] == 5);
+  BOOST_TEST(counts[2] == 5);
+}
+
+// Batch dispatches out of 200 while suggestions never run out.
+int BatchUnderSurge(bool guarantee) {
+  OwnerQueue queue = MakeOwnerQueue({.guarantee_shares = guarantee});
+  RequestHandle handle = 0;
+  int batch = 0;
+  for (int slot = 0; slot < 200; ++slot) {
+    Enqueue(queue, Request(++handle, 1, PriorityClass::kSuggestion), kStart);
+    Enqueue(queue, Request(++handle, 2, PriorityClass::kBatch), kStart);
+    const auto next = NextToDispatch(queue, kStart);
+    batch += next.request && next.request->priority == PriorityClass::kBatch ? 1 : 0;
+  }
+  return batch;
+}
+
+// Guards against batch work that never finishes while urgent work keeps coming.
+BOOST_AUTO_TEST_CASE(BatchKeepsItsShare) {
+  BOOST_TEST(BatchUnderSurge(true) >= 19);
+  BOOST_TEST(BatchUnderSurge(true) <= 21);
+  BOOST_TEST(BatchUnderSurge(false) == 0);
+}
+
+// Guards against a suggestion that waits behind less urgent work.
+BOOST_AUTO_TEST_CASE(UrgentClassesGoFirst) {
+  OwnerQueue queue = MakeOwnerQueue({});
+  Enqueue(queue, Request(1, 1, PriorityClass::kBatch), kStart);
+  Enqueue(queue, Request(2, 1, PriorityClass::kDraft), kStart);
+  Enqueue(queue, Request(3, 1, PriorityClass::kLookup), kStart);
+  Enqueue(queue, Request(4, 1, PriorityClass::kSuggestion), kStart);
+  for (const RequestHandle expected : {4U, 3U, 2U, 1U}) {
+    BOOST_TEST(NextToDispatch(queue, kStart).request->request == expected);
+  }
+}
+
+// A queue of 10 places, full of drafts, and a suggestion that arrives.
+EnqueueDecision SuggestionAtFullQueue(bool shed_least_urgent) {
+  OwnerQueue queue = MakeOwnerQueue({.max_queued = 10, .shed_least_urgent = shed_least_urgent});
+  for (RequestHandle handle = 0; handle < 9; ++handle) {
+    Enqueue(queue, Request(handle, handle % 3), kStart);
+  }
+  return Enqueue(queue, Request(99, 5, PriorityClass::kSuggestion), kStart);
+}
+
+// Guards against urgent work that is refused while less urgent work holds the queue.
+BOOST_AUTO_TEST_CASE(FullQueueShedsLeastUrgentNewest) {
+  const EnqueueDecision shed = SuggestionAtFullQueue(true);
+  BOOST_TEST(!shed.refusal);
+  BOOST_TEST(shed.shed->request.request == 8);
+  BOOST_TEST((shed.shed->refusal.ran == RunState::kNotRun));
+  BOOST_TEST((shed.shed->refusal.code == RefusalCode::kShed));
+  const EnqueueDecision refused = SuggestionAtFullQueue(false);
+  BOOST_TEST((refused.refusal->code == RefusalCode::kQueueFull));
+  BOOST_TEST((refused.refusal->retry_after >= kMinRetryAfter));
+}
+
+// Guards against a few workspaces that fill the queue and keep others out of the same class.
+BOOST_AUTO_TEST_CASE(FullQueueShedsFromTheLongestBacklog) {
+  for (const bool fair : {true, false}) {
+    OwnerQueue queue = MakeOwnerQueue({.max_queued = 10, .fair_between_workspaces = fair});
+    for (RequestHandle handle = 0; handle < 9; ++handle) {
+      Enqueue(queue, Request(handle, 1), kStart);
+    }
+    const EnqueueDecision decision = Enqueue(queue, Request(99, 2), kStart);
+    BOOST_TEST(decision.refusal.has_value() == !fair);
+    BOOST_TEST(decision.shed.has_value() == fair);
+  }
+}
+
+// Guards against a surge of urgent work that sheds all batch work.
+BOOST_AUTO_TEST_CASE(BatchReserveIsNotShed) {
+  for (const double reserved : {0.1, 0.0}) {
+    OwnerQueue queue = MakeOwnerQueue({.max_queued = 20, .batch_reserved_part = reserved});
+    for (RequestHandle handle = 0; handle < 20; ++handle) {
+      Enqueue(queue, Request(handle, 1, PriorityClass::kBatch), kStart);
+    }
+    for (RequestHandle handle = 100; handle < 150; ++handle) {
+      Enqueue(queue, Request(handle, handle, PriorityClass::kSuggestion), kStart);
+    }
+    BOOST_TEST(queue.waiting.size() == 20U);
+    BOOST_TEST(queue.queued[3] == (reserved > 0 ? 2U : 0U));
+  }
+}
+
+// Guards against batch work that finds no place in a queue full of urgent work.
+BOOST_AUTO_TEST_CASE(BatchEntersBesideFullUrgentQueue) {
+  OwnerQueue queue = MakeOwnerQueue({.max_queued = 20});
+  for (RequestHandle handle = 0; handle < 50; ++handle) {
+    Enqueue(queue, Request(handle, handle, PriorityClass::kSuggestion), kStart);
+  }
+  BOOST_TEST(!Enqueue(queue, Request(99, 1, PriorityClass::kBatch), kStart).refusal);
+}
+
+// Guards against work that waits for an answer that comes too late.
+BOOST_AUTO_TEST_CASE(UnreachableDeadlineIsRefusedAtOnce) {
+  for (const bool shed : {true, false}) {
+    OwnerQueue queue = MakeOwnerQueue({.shed_by_deadline = shed});
+    NoteRunTime(queue, PriorityClass::kDraft, milliseconds(100));
+    for (RequestHandle handle = 0; handle < 20; ++handle) {
+      Enqueue(queue, Request(handle, handle), kStart);
+    }
+    QueuedRequest late = Request(99, 99);
+    late.deadline = kStart + milliseconds(500);
+    const EnqueueDecision decision = Enqueue(queue, late, kStart);
+    BOOST_TEST(decision.refusal.has_value() == shed);
+    if (shed) {
+      BOOST_TEST((decision.refusal->code == RefusalCode::kDeadlineUnreachable));
+      BOOST_TEST((decision.refusal->ran == RunState::kNotRun));
+      BOOST_TEST((decision.refusal->retry_after >= seconds(2)));
+    }
+    SetSlots(queue, 10);
+    BOOST_TEST(!Enqueue(queue, late, kStart).refusal);
+  }
+}
+
+// Guards against a dispatch after the deadline, by a tick that is late or a process that paused.
+BOOST_AUTO_TEST_CASE(ExpiredWorkIsNeverDispatched) {
+  OwnerQueue queue = MakeOwnerQueue({});
+  QueuedRequest first = Request(1, 1);
+  first.deadline = kStart + milliseconds(100);
+  Enqueue(queue, first, kStart);
+  Enqueue(queue, Request(2, 1), kStart);
+  const DispatchDecision next = NextToDispatch(queue, kStart + seconds(1));
+  BOOST_TEST(next.request->request == 2U);
+  BOOST_REQUIRE(next.shed.size() == 1U);
+  BOOST_TEST((next.shed[0].refusal.code == RefusalCode::kDeadlineUnreachable));
+  Enqueue(queue, first, kStart);
+  BOOST_TEST(ExpireQueued(queue, kStart + seconds(1)).size() == 1U);
+}
+
+// Guards against a backlog so long that its work is stale when it runs.
+BOOST_AUTO_TEST_CASE(QueueIsBoundedByExpectedWaitAndPerWorkspace) {
+  OwnerQueue queue = MakeOwnerQueue({.max_per_workspace = 5});
+  NoteRunTime(queue, PriorityClass::kSuggestion, milliseconds(500));
+  for (RequestHandle handle = 0; handle < 5; ++handle) {
+    const auto decision =
+        Enqueue(queue, Request(handle, handle, PriorityClass::kSuggestion), kStart);
+    BOOST_TEST(!decision.refusal);
+  }
+  const auto wait = Enqueue(queue, Request(9, 9, PriorityClass::kSuggestion), kStart);
+  BOOST_TEST((wait.refusal->code == RefusalCode::kQueueFull));
+  for (RequestHandle handle = 10; handle < 16; ++handle) {
+    const auto decision = Enqueue(queue, Request(handle, 1, PriorityClass::kBatch), kStart);
+    BOOST_TEST(decision.refusal.has_value() == (handle == 15));
+  }
+}
+
+// Guards against a stop that drops queued work, takes new work, or never ends.
+BOOST_AUTO_TEST_CASE(DrainServesTheQueueAndRefusesTheRestAtItsDeadline) {
+  OwnerQueue queue = MakeOwnerQueue({});
+  for (RequestHandle handle = 0; handle < 3; ++handle) {
+    Enqueue(queue, Request(handle, 1), kStart);
+  }
+  BeginDrain(queue, kStart + seconds(10));
+  const auto late = Enqueue(queue, Request(9, 1), kStart);
+  BOOST_TEST((late.refusal->code == RefusalCode::kDraining));
+  BOOST_TEST(NextToDispatch(queue, kStart).request->request == 0U);
+  BOOST_TEST(!DrainFinished(queue));
+  const DispatchDecision stopped = NextToDispatch(queue, kStart + seconds(10));
+  BOOST_TEST(!stopped.request);
+  BOOST_TEST(stopped.shed.size() == 2U);
+  BOOST_TEST((stopped.shed[0].refusal.ran == RunState::kNotRun));
+  BOOST_TEST(DrainFinished(queue));
+}
+
+// Guards against a lost lease that leaves requests without an answer.
+BOOST_AUTO_TEST_CASE(RefuseAllAnswersEveryRequest) {
+  OwnerQueue queue = MakeOwnerQueue({});
+  for (RequestHandle handle = 0; handle < 10; ++handle) {
+    Enqueue(queue, Request(handle, handle % 3, static_cast<PriorityClass>(handle % 4)), kStart);
+  }
+  BOOST_TEST(RefuseAll(queue, RefusalCode::kNotOwner).size() == 10U);
+  BOOST_TEST(queue.flows.empty());
+  BOOST_TEST(!NextToDispatch(queue, kStart).request);
+}
+
+// Guards against callers that were refused together and return together.
+BOOST_AUTO_TEST_CASE(RetryAfterIsSpread) {
+  std::map<Duration, int> delays;
+  for (RequestHandle handle = 0; handle < 100; ++handle) {
+    const Refusal refusal = MakeRefusal(RefusalCode::kQueueFull, seconds(1), handle);
+    BOOST_TEST((refusal.retry_after >= seconds(1)));
+    BOOST_TEST((refusal.retry_after <= milliseconds(1'250)));
+    delays[refusal.retry_after] += 1;
+  }
+  BOOST_TEST(delays.size() > 80U);
+}
+
+// Guards against a caller that takes a fresh ticket because a repeat was refused elsewhere.
+BOOST_AUTO_TEST_CASE(RefusalOfTicketedCallSaysUnknown) {
+  const Refusal refusal = ForTicketedCall(MakeRefusal(RefusalCode::kRateLimited, seconds(1), 1));
+  BOOST_TEST((refusal.ran == RunState::kUnknown));
+  BOOST_TEST(refusal.retry);
+  BOOST_TEST(refusal.status == 429);
+}
+
+}  // namespace
+}  // namespace geraniumspread::admission
--- a/src/admission/workspace_limits.h
+++ b/src/admission/workspace_limits.h
@@ -1,7 +1,7 @@
 #ifndef ADMISSION_WORKSPACE_LIMITS_H_
 #define ADMISSION_WORKSPACE_LIMITS_H_
 
-#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -50,7 +50,7 @@
   std::optional<TimePoint> replaced_at;
 };
 
-// At most 64 bytes; 23,000 entries take under 4 MB in a table that is at most half full.
+// At most 56 bytes: 23,000 entries take under 4 MB in a table that is at most half full.
 struct WorkspaceEntry {
   WorkspaceKey workspace = 0;
   TimePoint refilled_at;
@@ -59,8 +59,9 @@
   float tokens = 0;
   std::uint32_t max_concurrent = 0;
   std::uint32_t in_flight = 0;
-  // Index into the loans of the table, or kNoLoan.
-  std::uint32_t first_loan = 0xffffffffU;
+  // Sum of the loans that run: above 0 when borrowed, below 0 when lent.
+  std::int32_t loaned_concurrent = 0;
+  float loaned_rate = 0;
   bool used = false;
 };
 
@@ -78,12 +79,16 @@
   // Open addressing with linear probing; the size is a power of two.
   std::vector<WorkspaceEntry> entries;
   std::vector<ShareLoan> loans;
+  // The earliest end of a loan.
+  TimePoint next_loan_end = TimePoint::max();
   // The last view is in force; earlier ones still hold shares down.
   std::vector<RouterView> views;
   TimePoint created_at;
   std::uint32_t total_in_flight = 0;
   // Workspaces with requests in flight.
   std::uint32_t active_workspaces = 0;
+  // Moving average of the time that a request stays in flight, for Retry-After.
+  Duration mean_run_time = std::chrono::milliseconds(500);
 };
 
 // What this router may use of a workspace's limit now.
@@ -123,8 +128,9 @@
 // lowered theirs; report not ready until then.
 bool ShareReady(const WorkspaceLimitTable& table, TimePoint now);
 
-// The equal part of the limit, with the remainder spread by workspace, plus loans. The parts of all
-// routers with the same view add up to the limit exactly.
+// The equal part of the limit, with the remainder spread by workspace, plus loans. The concurrency
+// and rate of all routers with the same view add up to the limit. A burst is at least one request
+// per router, as a smaller bucket would never admit anything.
 WorkspaceShare ShareOf(const WorkspaceLimitTable& table, WorkspaceKey workspace, TimePoint now);
 
 // Counts the request as in flight, or says why not.
@@ -132,19 +138,20 @@
                              WorkspaceKey workspace,
                              RequestHandle request,
                              TimePoint now);
-// Ends a request that Admit counted.
-void Release(WorkspaceLimitTable& table, WorkspaceKey workspace);
+// Ends a request that Admit counted. `ran_for` is the time since Admit.
+void Release(WorkspaceLimitTable& table, WorkspaceKey workspace, Duration ran_for);
 
 // Loans move unused share to routers with more demand. The borrower sends a LoanRequest to a few
 // peers when it refuses work; a peer answers with what it can spare and stops using that part at
-// once. Nothing is created by a loan, so the sum over routers stays within the limit.
+// once. Nothing is created by a loan, so the sum over routers stays within the limit. A request
+// that still runs when its loan ends is not cut.
 std::optional<LoanGrant> LendShare(WorkspaceLimitTable& table,
                                    const LoanRequest& request,
                                    TimePoint now);
 // `asked_at` is the time when the LoanRequest was sent; the term runs from then.
 void BorrowShare(WorkspaceLimitTable& table, const LoanGrant& grant, TimePoint asked_at);
 
-// Drops loans and views that have ended. Call on each tick.
+// Ends loans and drops views that have ended. Call on each tick.
 void TickWorkspaceLimits(WorkspaceLimitTable& table, TimePoint now);
 
 // Bytes held by the table.
