--- a/src/admission/tests/owner_queue_test.cc
+++ b/src/admission/tests/owner_queue_test.cc
@@ -17,6 +17,14 @@
   return {.request = handle, .workspace = workspace, .priority = priority};
 }
 
+std::optional<RefusalCode> CodeOf(const std::optional<Refusal>& refusal) {
+  return refusal ? std::optional(refusal->code) : std::nullopt;
+}
+
+std::optional<RequestHandle> HandleOf(const DispatchDecision& decision) {
+  return decision.request ? std::optional(decision.request->request) : std::nullopt;
+}
+
 // Counts the dispatches per workspace until `rounds` slots were free.
 std::map<WorkspaceKey, int> DispatchPerWorkspace(OwnerQueue& queue, int rounds) {
   std::map<WorkspaceKey, int> counts;
@@ -91,7 +99,7 @@
   Enqueue(queue, Request(3, 1, PriorityClass::kLookup), kStart);
   Enqueue(queue, Request(4, 1, PriorityClass::kSuggestion), kStart);
   for (const RequestHandle expected : {4U, 3U, 2U, 1U}) {
-    BOOST_TEST(NextToDispatch(queue, kStart).request->request == expected);
+    BOOST_TEST((HandleOf(NextToDispatch(queue, kStart)) == expected));
   }
 }
 
@@ -108,12 +116,14 @@
 BOOST_AUTO_TEST_CASE(FullQueueShedsLeastUrgentNewest) {
   const EnqueueDecision shed = SuggestionAtFullQueue(true);
   BOOST_TEST(!shed.refusal);
-  BOOST_TEST(shed.shed->request.request == 8);
-  BOOST_TEST((shed.shed->refusal.ran == RunState::kNotRun));
-  BOOST_TEST((shed.shed->refusal.code == RefusalCode::kShed));
+  const ShedRequest victim = shed.shed.value_or(ShedRequest{});
+  BOOST_TEST(victim.request.request == 8);
+  BOOST_TEST((victim.refusal.ran == RunState::kNotRun));
+  BOOST_TEST((victim.refusal.code == RefusalCode::kShed));
   const EnqueueDecision refused = SuggestionAtFullQueue(false);
-  BOOST_TEST((refused.refusal->code == RefusalCode::kQueueFull));
-  BOOST_TEST((refused.refusal->retry_after >= kMinRetryAfter));
+  const Refusal full = refused.refusal.value_or(Refusal{.code = RefusalCode::kShed});
+  BOOST_TEST((full.code == RefusalCode::kQueueFull));
+  BOOST_TEST((full.retry_after >= kMinRetryAfter));
 }
 
 // Guards against a few workspaces that fill the queue and keep others out of the same class.
@@ -165,7 +175,7 @@
     late.deadline = kStart + milliseconds(500);
     const EnqueueDecision decision = Enqueue(queue, late, kStart);
     BOOST_TEST(decision.refusal.has_value() == shed);
-    if (shed) {
+    if (decision.refusal) {
       BOOST_TEST((decision.refusal->code == RefusalCode::kDeadlineUnreachable));
       BOOST_TEST((decision.refusal->ran == RunState::kNotRun));
       BOOST_TEST((decision.refusal->retry_after >= seconds(2)));
@@ -183,7 +193,7 @@
   Enqueue(queue, first, kStart);
   Enqueue(queue, Request(2, 1), kStart);
   const DispatchDecision next = NextToDispatch(queue, kStart + seconds(1));
-  BOOST_TEST(next.request->request == 2U);
+  BOOST_TEST((HandleOf(next) == 2U));
   BOOST_REQUIRE(next.shed.size() == 1U);
   BOOST_TEST((next.shed[0].refusal.code == RefusalCode::kDeadlineUnreachable));
   Enqueue(queue, first, kStart);
@@ -200,7 +210,7 @@
     BOOST_TEST(!decision.refusal);
   }
   const auto wait = Enqueue(queue, Request(9, 9, PriorityClass::kSuggestion), kStart);
-  BOOST_TEST((wait.refusal->code == RefusalCode::kQueueFull));
+  BOOST_TEST((CodeOf(wait.refusal) == RefusalCode::kQueueFull));
   for (RequestHandle handle = 10; handle < 16; ++handle) {
     const auto decision = Enqueue(queue, Request(handle, 1, PriorityClass::kBatch), kStart);
     BOOST_TEST(decision.refusal.has_value() == (handle == 15));
@@ -215,8 +225,8 @@
   }
   BeginDrain(queue, kStart + seconds(10));
   const auto late = Enqueue(queue, Request(9, 1), kStart);
-  BOOST_TEST((late.refusal->code == RefusalCode::kDraining));
-  BOOST_TEST(NextToDispatch(queue, kStart).request->request == 0U);
+  BOOST_TEST((CodeOf(late.refusal) == RefusalCode::kDraining));
+  BOOST_TEST((HandleOf(NextToDispatch(queue, kStart)) == 0U));
   BOOST_TEST(!DrainFinished(queue));
   const DispatchDecision stopped = NextToDispatch(queue, kStart + seconds(10));
   BOOST_TEST(!stopped.request);
--- a/src/admission/tests/workspace_limits_test.cc
+++ b/src/admission/tests/workspace_limits_test.cc
@@ -12,10 +12,18 @@
 constexpr TimePoint kStart{seconds(1'000)};
 constexpr WorkspaceKey kWorkspace = 42;
 
+RouterKey KeyOf(std::uint32_t index) {
+  return RouterKey{10} * (index + 1);
+}
+
+std::optional<RefusalCode> CodeOf(const std::optional<Refusal>& refusal) {
+  return refusal ? std::optional(refusal->code) : std::nullopt;
+}
+
 std::vector<RouterKey> Routers(std::uint32_t count) {
   std::vector<RouterKey> routers(count);
   for (std::uint32_t index = 0; index < count; ++index) {
-    routers[index] = 10 * (index + 1);
+    routers[index] = KeyOf(index);
   }
   return routers;
 }
@@ -35,6 +43,7 @@
                                            const WorkspaceLimit& limit) {
   const std::vector<RouterKey> live = Routers(count);
   std::vector<WorkspaceLimitTable> fleet;
+  fleet.reserve(live.size());
   for (const RouterKey self : live) {
     fleet.push_back(MakeRouter(policy, self, live, limit));
   }
@@ -96,7 +105,7 @@
       std::uint64_t sum = 0;
       for (std::uint32_t index = joins ? 0 : 1; index < kRouters; ++index) {
         if (second == delay[index]) {
-          SetLiveRouters(fleet[index], 10 * (index + 1), live, now);
+          SetLiveRouters(fleet[index], KeyOf(index), live, now);
         }
         TickWorkspaceLimits(fleet[index], now);
         sum += ShareOf(fleet[index], kWorkspace, now).concurrent;
@@ -122,8 +131,8 @@
     const auto grant = LendShare(
         fleet[lender], {.workspace = kWorkspace, .concurrent = 20, .requests_per_second = 20},
         kStart + milliseconds(1));
-    BOOST_REQUIRE(grant.has_value());
-    BorrowShare(fleet[0], *grant, kStart);
+    BOOST_TEST(grant.has_value());
+    BorrowShare(fleet[0], grant.value_or(LoanGrant{}), kStart);
     BOOST_TEST(SumOfShares(fleet, kStart + milliseconds(2)) == 80U);
   }
   const WorkspaceShare borrowed = ShareOf(fleet[0], kWorkspace, kStart);
@@ -186,10 +195,9 @@
   BOOST_TEST(admitted >= 104);
   BOOST_TEST(admitted <= 105);
   const TimePoint now = kStart + seconds(10);
-  const auto refusal = Admit(table, kWorkspace, 1, now);
-  BOOST_REQUIRE(refusal.has_value());
-  BOOST_TEST((refusal->code == RefusalCode::kRateLimited));
-  BOOST_TEST(!Admit(table, kWorkspace, 1, now + refusal->retry_after));
+  const Refusal refusal = Admit(table, kWorkspace, 1, now).value_or(Refusal{});
+  BOOST_TEST((refusal.code == RefusalCode::kRateLimited));
+  BOOST_TEST(!Admit(table, kWorkspace, 1, now + refusal.retry_after));
 }
 
 // Guards against requests that are lost from the count when limits change or work ends.
@@ -197,8 +205,7 @@
   WorkspaceLimitTable table = MakeRouter({}, 1, {}, Limit(2));
   BOOST_TEST(!Admit(table, kWorkspace, 1, kStart));
   BOOST_TEST(!Admit(table, kWorkspace, 2, kStart));
-  const auto refusal = Admit(table, kWorkspace, 3, kStart);
-  BOOST_TEST((refusal->code == RefusalCode::kConcurrencyLimited));
+  BOOST_TEST((CodeOf(Admit(table, kWorkspace, 3, kStart)) == RefusalCode::kConcurrencyLimited));
   SetWorkspaceLimits(table, {}, kStart);
   BOOST_TEST(Admit(table, kWorkspace, 3, kStart).has_value());
   const WorkspaceLimit limit = Limit(2);
@@ -206,13 +213,14 @@
   BOOST_TEST(Admit(table, kWorkspace, 3, kStart).has_value());
   Release(table, kWorkspace, seconds(1));
   BOOST_TEST(!Admit(table, kWorkspace, 3, kStart));
-  BOOST_TEST((Admit(table, 4711, 3, kStart)->code == RefusalCode::kUnknownWorkspace));
+  BOOST_TEST((CodeOf(Admit(table, 4711, 3, kStart)) == RefusalCode::kUnknownWorkspace));
 }
 
 // Guards against a table that outgrows its part of the 32 MB, or mixes up workspaces.
 BOOST_AUTO_TEST_CASE(DesignSizeFitsInMemory) {
   static constexpr std::size_t kWorkspaces = 23'000;
   std::vector<WorkspaceLimit> limits;
+  limits.reserve(kWorkspaces);
   std::mt19937_64 random(3);
   for (std::size_t index = 0; index < kWorkspaces; ++index) {
     limits.push_back({.workspace = random(),
