--- a/src/outcomes/answer_integrity.h
+++ b/src/outcomes/answer_integrity.h
@@ -51,6 +51,10 @@
 // `framed_end`: the HTTP parser saw the end of the body (length reached or last chunk). False when
 // the connection closed. `bytes_after_end`: bytes read beyond the end of the answer.
 AnswerFault OnAnswerEnd(AnswerCheck& check, bool framed_end, std::uint64_t bytes_after_end);
+// True for an answer that was read to its end and may be passed on as complete. Extra bytes after
+// the end don't damage it; they only forbid the reuse of the connection. A body that ends with the
+// connection has no declared end and is never complete.
+bool AnswerIntact(const AnswerCheck& check);
 // True only for an answer that was read to its end, without a fault, on a connection that both
 // sides keep open.
 bool MayReuseConnection(const AnswerCheck& check, bool keep_alive);
--- a/src/outcomes/exchange.h
+++ b/src/outcomes/exchange.h
@@ -79,11 +79,19 @@
 // True in kComplete and kFailed.
 bool Ended(const Exchange& exchange);
 // What to do after the exchange has ended. `tokens_delivered` counts tokens that the caller has.
+// When a retry is not granted, a complete answer is delivered and a failed exchange answered by
+// ErrorOf.
 NextStep AfterExchange(const Exchange& exchange,
                        RequestClass request_class,
                        std::uint64_t tokens_delivered);
-// The error for the caller when nothing more is tried.
-OutcomeError ErrorOf(const Exchange& exchange, RequestClass request_class, Duration retry_after);
+// The run state of a request after two attempts: "not run" needs both not to have run.
+RunState CombineRunStates(RunState earlier, RunState latest);
+// The error for the caller when nothing more is tried. `earlier` is the combined run state of the
+// attempts before this exchange, kNotRun when there are none.
+OutcomeError ErrorOf(const Exchange& exchange,
+                     RequestClass request_class,
+                     RunState earlier,
+                     Duration retry_after);
 
 }  // namespace geraniumspread::outcomes
 
--- a/src/outcomes/quarantine.h
+++ b/src/outcomes/quarantine.h
@@ -92,7 +92,8 @@
 // The request got a complete answer: this router's suspicions against it are dropped. A quarantine
 // stays.
 void NoteCompleted(QuarantineTable& table, const Fingerprint& fingerprint);
-// The error for a quarantined request. Such a request is not run.
+// The error for a quarantined request. Such a request is not run. For a call with a ticket, ask
+// BeginTicket first, as an earlier call with the ticket may have run.
 std::optional<OutcomeError> CheckQuarantine(const QuarantineTable& table,
                                             const Fingerprint& fingerprint,
                                             TimePoint now);
--- a/src/outcomes/silence.h
+++ b/src/outcomes/silence.h
@@ -12,7 +12,8 @@
 struct ProgressPolicy {
   Duration connect = std::chrono::milliseconds(500);
   Duration write = std::chrono::seconds(2);
-  // Covers the queue of the engine as well as the first token.
+  // Covers the queue of the engine as well as the first token. An answer that is not streamed has
+  // its first byte after the whole run, so it needs a policy of its own.
   Duration first_byte = std::chrono::seconds(10);
   Duration between_bytes = std::chrono::seconds(3);
   // Wait before the first probe of a down upstream; doubles up to max_probe_delay.
--- a/src/outcomes/tickets.h
+++ b/src/outcomes/tickets.h
@@ -67,6 +67,8 @@
 struct ServedIncarnation {
   RouterIncarnation incarnation;
   TimePoint started_at;
+  // When the last ticket of an incarnation that was taken over has expired.
+  TimePoint forget_at = TimePoint::max();
 };
 
 struct TicketTable {
@@ -80,6 +82,11 @@
   std::size_t reserved_bytes = 0;
   // Set by ExportTickets: from then on every ticket call is refused.
   std::optional<RouterIncarnation> successor;
+  // Incarnations whose handover was refused here. A late copy of the same handover must not be
+  // taken, since another successor may have been chosen since.
+  std::vector<RouterIncarnation> refused_handovers;
+  // No entry expires before this time.
+  TimePoint earliest_expiry = TimePoint::max();
 };
 
 // What a call with a ticket gets.
@@ -132,7 +139,8 @@
 struct ExportedTicket {
   std::string random;
   RouterIncarnation issuer;
-  // kRunning is never exported: a call that still runs is exported as unknown.
+  // kRunning is never exported. A dispatched call that still runs is exported as unknown; one that
+  // was not dispatched is left out, since MarkTicketDispatched refuses it from now on.
   TicketState state = TicketState::kUnknown;
   std::string call_digest;
   Duration expires_in{0};
@@ -152,8 +160,8 @@
 };
 
 // Freezes the table and names its only successor. Calling it again with the same successor repeats
-// the export, for a lost message. Another successor is refused with kTicketsHandedOver, since the
-// first may already run calls.
+// the export, for a lost message or a call that has finished meanwhile. Another successor is
+// refused with kTicketsHandedOver, since the first may already run calls.
 OutcomeResult<TicketHandover> ExportTickets(TicketTable& table,
                                             const RouterIncarnation& successor,
                                             TimePoint now);
@@ -189,6 +197,8 @@
 // What the member table knows about a router.
 struct KnownRouter {
   bool known = false;
+  // The platform no longer lists the router, or lists it as gone.
+  bool left = false;
   std::uint64_t incarnation = 0;
 };
 enum class TicketRoute : std::uint8_t { kLocal, kForward, kGone, kUnreachable };
