--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -2,7 +2,8 @@
 add_library(gs_compile_options INTERFACE)
 target_compile_options(gs_compile_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wshadow
                                                     -Wnon-virtual-dtor -Wno-psabi
-                                                    -Wno-missing-field-initializers)
+                                                    -Wno-missing-field-initializers
+                                                    -Wno-mismatched-new-delete)
 target_compile_definitions(
   gs_compile_options INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_DISABLE_BOOST_COROUTINE
                                BOOST_BEAST_USE_STD_STRING_VIEW)
--- a/src/observability/log.h
+++ b/src/observability/log.h
@@ -6,7 +6,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
-#include <utility>
+#include <type_traits>
 
 // Logs as JSON lines: {"time", "level", "event", ...fields}. `event` is a
 // stable snake_case name that runbooks refer to.
@@ -20,7 +20,19 @@
   std::string instance;        // added to each line
 };
 
-using LogField = std::pair<std::string_view, boost::json::value>;
+// A named value of a log line.
+struct LogField {
+  LogField(std::string_view field_name, std::string_view text) : name(field_name), value(text) {}
+  LogField(std::string_view field_name, const std::string& text)
+      : name(field_name), value(std::string_view(text)) {}
+  LogField(std::string_view field_name, const char* text) : name(field_name), value(text) {}
+  template <typename Number>
+    requires std::is_arithmetic_v<Number>
+  LogField(std::string_view field_name, Number number) : name(field_name), value(number) {}
+
+  std::string_view name;
+  boost::json::value value;
+};
 
 // Sets up the logger of the process. Call once, before the first event.
 void InitializeLog(const LogOptions& options);
--- a/src/transport/error_response.h
+++ b/src/transport/error_response.h
@@ -23,7 +23,8 @@
   std::string_view request_id;
 };
 
-// Builds the JSON error body and the headers X-Ran, X-Request-Id and Retry-After.
+// Builds the JSON error body and the headers X-Error-Code, X-Ran, X-Request-Id
+// and Retry-After.
 HttpResponse MakeErrorResponse(const ErrorDescription& error);
 
 }  // namespace geraniumspread::transport
--- a/src/transport/internal/error_response.cc
+++ b/src/transport/internal/error_response.cc
@@ -19,6 +19,7 @@
   response.status = error.status;
   response.body = boost::json::serialize(boost::json::object{{"error", std::move(body)}});
   response.headers.push_back({"Content-Type", "application/json"});
+  response.headers.push_back({"X-Error-Code", std::string(error.code)});
   response.headers.push_back({"X-Ran", std::string(ToString(error.ran))});
   if (!error.request_id.empty()) {
     response.headers.push_back({"X-Request-Id", std::string(error.request_id)});
--- a/src/transport/internal/http_common.h
+++ b/src/transport/internal/http_common.h
@@ -84,6 +84,9 @@
   std::shared_ptr<Watch> watch;
 };
 
+// Opens, binds and listens. Port 0 takes a free port; the port in use is returned.
+Result<std::uint16_t> OpenAcceptor(Tcp::acceptor& acceptor, const Endpoint& endpoint);
+
 }  // namespace geraniumspread::transport::detail
 
 #endif  // TRANSPORT_INTERNAL_HTTP_COMMON_H_
--- a/src/transport/internal/http_server.cc
+++ b/src/transport/internal/http_server.cc
@@ -373,34 +373,12 @@
 }
 
 Result<std::uint16_t> HttpServer::Listen(const Endpoint& endpoint) {
-  using detail::Tcp;
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(endpoint.address, error);
-  if (error) {
-    return TransportError{TransportErrorCode::kInvalidAddress, ExchangePhase::kNotStarted,
-                          "\"" + endpoint.address + "\" is not an IP address"};
-  }
-  const Tcp::endpoint local(address, endpoint.port);
-  Tcp::acceptor& acceptor = this->state->acceptor;
-  acceptor.open(local.protocol(), error);
-  if (!error) {
-    acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(local, error);
-  }
-  if (!error) {
-    acceptor.listen(Tcp::acceptor::max_listen_connections, error);
-  }
-  if (error) {
-    boost::system::error_code ignored;
-    acceptor.close(ignored);
-    return TransportError{TransportErrorCode::kAddressInUse, ExchangePhase::kNotStarted,
-                          "can't listen on " + ToString(endpoint) + ": " + error.message()};
+  Result<std::uint16_t> port = detail::OpenAcceptor(this->state->acceptor, endpoint);
+  if (port) {
+    boost::asio::co_spawn(this->state->executor, detail::RunAcceptor(this->state),
+                          boost::asio::detached);
   }
-  boost::asio::co_spawn(this->state->executor, detail::RunAcceptor(this->state),
-                        boost::asio::detached);
-  return acceptor.local_endpoint(error).port();
+  return port;
 }
 
 void HttpServer::BeginDrain() {
