--- a/src/config/internal/sheet.cc
+++ b/src/config/internal/sheet.cc
@@ -274,8 +274,8 @@
   }
 }
 
-void ReadEntry(SheetRun& run, const CsvRow& row, RowKind kind) {
-  RowReader reader(row, *run.header, kind, run.missing_columns, run.sink);
+void ReadEntry(SheetRun& run, const SheetHeader& header, const CsvRow& row, RowKind kind) {
+  RowReader reader(row, header, kind, run.missing_columns, run.sink);
   std::string name = reader.Text(ColumnId::kName, &IsName, kNameRule);
   CheckUnique(run, reader, kind, name);
   switch (kind) {
@@ -355,7 +355,7 @@
                    "must be workspace, pool, service, failure_domain or setting");
     return;
   }
-  ReadEntry(run, row, kind->kind);
+  ReadEntry(run, *run.header, row, kind->kind);
 }
 
 // --- Checks over the whole sheet ---
--- a/src/config/internal/validation.cc
+++ b/src/config/internal/validation.cc
@@ -30,22 +30,26 @@
 struct EntryCheck {
   std::string_view kind;
   std::string_view name;
-  Check result = Valid();
+  std::string reason;  // of the first condition that fails
 
-  EntryCheck& Require(bool condition, std::string_view reason) {
-    if (!condition && this->result) {
-      this->result = Invalid(this->kind, this->name, reason);
+  EntryCheck& Require(bool condition, std::string_view failure) {
+    if (!condition && this->reason.empty()) {
+      this->reason = failure;
     }
     return *this;
   }
 
   template <typename T>
   EntryCheck& InRange(T value, ValueRange<T> range, std::string_view field) {
-    if (!range.Contains(value) && this->result) {
-      this->result = Invalid(this->kind, this->name, std::string(field) + " is out of range");
+    if (!range.Contains(value) && this->reason.empty()) {
+      this->reason = std::string(field) + " is out of range";
     }
     return *this;
   }
+
+  Check Result() const {
+    return this->reason.empty() ? Valid() : Check(Invalid(this->kind, this->name, this->reason));
+  }
 };
 
 bool IsInHundredths(double value, ValueRange<double> range) {
@@ -73,7 +77,7 @@
 
 Check CheckWorkspace(const Workspace& workspace) {
   const auto& models = workspace.allowed_models;
-  return EntryCheck{"workspace", workspace.name}
+  return EntryCheck{"workspace", workspace.name, {}}
       .Require(IsName(workspace.name), "the name is not valid")
       .InRange(workspace.weight, kWeightRange, "weight")
       .InRange(workspace.concurrency_limit, kConcurrencyLimitRange, "concurrency_limit")
@@ -86,11 +90,11 @@
       .Require(std::ranges::all_of(models, IsServedModelName), "an allowed model is not valid")
       .Require(static_cast<int>(workspace.max_priority) < kPriorityClassCount,
                "max_priority is not valid")
-      .result;
+      .Result();
 }
 
 Check CheckPool(const ModelPool& pool) {
-  return EntryCheck{"pool", pool.name}
+  return EntryCheck{"pool", pool.name, {}}
       .Require(IsName(pool.name), "the name is not valid")
       .Require(IsModelName(pool.model), "the model is not valid")
       .Require(pool.adapter.empty() || IsModelName(pool.adapter), "the adapter is not valid")
@@ -101,7 +105,7 @@
       .InRange(pool.cold_limit, kColdLimitRange, "cold_limit")
       .InRange(pool.capacity, kCapacityRange, "capacity")
       .Require(pool.cold_limit <= pool.capacity, "cold_limit is larger than capacity")
-      .result;
+      .Result();
 }
 
 Check CheckService(const Service& service) {
@@ -109,7 +113,7 @@
     return IsMethod(rule.method) && IsServicePath(rule.path) &&
            (!rule.is_prefix || rule.path.ends_with('/'));
   };
-  return EntryCheck{"service", service.name}
+  return EntryCheck{"service", service.name, {}}
       .Require(IsName(service.name), "the name is not valid")
       .Require(service.repeatable.size() <= kMaxRepeatableRules, "too many repeatable rules")
       .Require(IsSortedWithoutDuplicates(service.repeatable),
@@ -119,18 +123,18 @@
       .InRange(service.timeout, kServiceTimeoutRange, "timeout")
       .InRange(service.concurrency_per_upstream, kConcurrencyPerUpstreamRange,
                "concurrency_per_upstream")
-      .result;
+      .Result();
 }
 
 Check CheckFailureDomain(const FailureDomain& domain) {
-  return EntryCheck{"failure_domain", domain.name}
+  return EntryCheck{"failure_domain", domain.name, {}}
       .Require(IsName(domain.name), "the name is not valid")
       .Require(IsName(domain.region), "the region is not valid")
-      .result;
+      .Result();
 }
 
 Check CheckSettings(const FleetSettings& settings) {
-  return EntryCheck{"setting", ""}
+  return EntryCheck{"setting", "", {}}
       .InRange(settings.lease_term, kLeaseTermRange, "lease_term")
       .InRange(settings.return_ramp, kReturnRampRange, "return_ramp")
       .InRange(settings.retry_budget_percent, kRetryBudgetRange, "retry_budget_percent")
@@ -138,7 +142,7 @@
       .InRange(settings.quarantine_time, kQuarantineTimeRange, "quarantine_time")
       .InRange(settings.ticket_expiry, kTicketExpiryRange, "ticket_expiry")
       .InRange(settings.stop_deadline, kStopDeadlineRange, "stop_deadline")
-      .result;
+      .Result();
 }
 
 // Two pools with the same served name and role would leave open which one a
--- a/src/config/sheet.h
+++ b/src/config/sheet.h
@@ -14,10 +14,10 @@
 // service, failure domain or setting. docs/operators.md lists the columns.
 namespace geraniumspread::config {
 
-inline constexpr std::size_t kMaxSheetBytes = 16 * 1024 * 1024;
+inline constexpr std::size_t kMaxSheetBytes = std::size_t{16} * 1024 * 1024;
 inline constexpr std::size_t kMaxSheetRows = 100'000;
 inline constexpr std::size_t kMaxSheetColumns = 64;
-inline constexpr std::size_t kMaxFieldBytes = 8 * 1024;
+inline constexpr std::size_t kMaxFieldBytes = std::size_t{8} * 1024;
 // Findings beyond this number are counted, but not kept.
 inline constexpr std::size_t kMaxFindings = 100'000;
 
--- a/src/config/tests/compile_test.cc
+++ b/src/config/tests/compile_test.cc
@@ -19,6 +19,7 @@
 
 std::vector<std::string_view> ShardViews(const CompiledConfiguration& compiled) {
   std::vector<std::string_view> views;
+  views.reserve(compiled.shards.size());
   for (const CompiledShard& shard : compiled.shards) {
     views.emplace_back(shard.bytes);
   }
--- a/src/config/tests/sheet_test.cc
+++ b/src/config/tests/sheet_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,7 @@
 // "row column severity" of each finding.
 std::vector<std::string> Places(const SheetReport& report) {
   std::vector<std::string> places;
+  places.reserve(report.findings.size());
   for (const Finding& finding : report.findings) {
     places.push_back(std::to_string(finding.row) + " " + finding.column + " " +
                      std::string(ToString(finding.severity)));
@@ -39,6 +41,15 @@
   return places;
 }
 
+// The configuration of a sheet that must have no errors.
+Configuration ReadValid(std::string_view sheet) {
+  SheetReport report = ParseSheet(sheet);
+  if (!report.configuration) {
+    throw std::runtime_error("the sheet has errors");
+  }
+  return *std::move(report.configuration);
+}
+
 void RequirePlaces(const std::string& sheet, const std::vector<std::string>& expected) {
   const auto places = Places(ParseSheet(sheet));
   BOOST_CHECK_EQUAL_COLLECTIONS(places.begin(), places.end(), expected.begin(), expected.end());
@@ -46,9 +57,7 @@
 
 // Guards against a column that is read into another field or with another unit.
 BOOST_AUTO_TEST_CASE(EveryKindOfRowIsRead) {
-  const SheetReport report = ParseSheet(kSheet);
-  BOOST_REQUIRE(report.configuration);
-  const Configuration& configuration = *report.configuration;
+  const Configuration configuration = ReadValid(kSheet);
   const Workspace workspace{
       "foundry", 8, 96, 2.5, false, {"inscription-wording"}, PriorityClass::kDraft};
   BOOST_TEST((*FindWorkspace(configuration, "foundry") == workspace));
@@ -181,10 +190,8 @@
                        std::ios::binary);
     std::ostringstream text;
     text << file.rdbuf();
-    const SheetReport report = ParseSheet(text.str());
-    BOOST_TEST(report.findings.empty(), deployment);
-    BOOST_REQUIRE(report.configuration);
-    BOOST_TEST(report.configuration->workspaces.size() == 10U);
+    BOOST_TEST(ParseSheet(text.str()).findings.empty(), deployment);
+    BOOST_TEST(ReadValid(text.str()).workspaces.size() == 10U);
   }
 }
 
@@ -194,9 +201,7 @@
   for (int index = 0; index < 23'000; ++index) {
     sheet += "workspace,customer-" + std::to_string(index) + ",2,24,7.5,*,draft,,,,,,,,,,,\n";
   }
-  const SheetReport report = ParseSheet(sheet);
-  BOOST_REQUIRE(report.configuration);
-  BOOST_TEST(report.configuration->workspaces.size() == 23'001U);
+  BOOST_TEST(ReadValid(sheet).workspaces.size() == 23'001U);
 }
 
 }  // namespace
