--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -78,14 +78,14 @@
   std::uint64_t count = 0;
 };
 
-// Bytes with their size. Bytes beyond kMaxShardBytes are not kept, only their
-// size, which makes the manifest invalid.
-struct StoredPart {
+// A shard with its workspaces, which are kept so that a change of one shard
+// doesn't parse all others again. Bytes beyond kMaxShardBytes are not kept.
+struct StoredShard {
   std::string bytes;
-  std::size_t size = 0;
+  ShardContent content;
 };
 
-using PartTable = std::map<Digest, StoredPart, std::less<>>;
+using ShardTable = std::map<Digest, StoredShard, std::less<>>;
 
 // A manifest that waits for its shards.
 struct Candidate {
@@ -113,7 +113,7 @@
   VersionDigest highest_heard;        // from peers
   std::vector<Candidate> candidates;  // by version, highest first
   std::vector<Digest> shards_in_force;
-  PartTable shards;  // of the version in force and of the candidates
+  ShardTable shards;  // of the version in force and of the candidates
   std::vector<Rejection> rejections;
   std::vector<ConfigAlarm> alarms;
 };
--- a/src/config/internal/config_store.cc
+++ b/src/config/internal/config_store.cc
@@ -81,15 +81,12 @@
 }
 
 ConfigResult<Configuration> Assemble(const ConfigStore& store, const Candidate& candidate) {
-  std::vector<std::string_view> shards;
+  std::vector<const ShardContent*> shards;
+  shards.reserve(candidate.manifest.shards.size());
   for (const ShardReference& reference : candidate.manifest.shards) {
-    const StoredPart& part = store.shards.find(reference.digest)->second;
-    if (part.size != part.bytes.size()) {
-      return ConfigError{ConfigErrorCode::kTooLarge, "shard " + reference.digest + " is too large"};
-    }
-    shards.emplace_back(part.bytes);
+    shards.push_back(&store.shards.find(reference.digest)->second.content);
   }
-  return AssembleConfiguration(candidate.manifest, shards);
+  return JoinShards(candidate.manifest, shards);
 }
 
 // Alarms about versions that are no longer current would only distract. An
@@ -259,8 +256,10 @@
   if (!IsWanted(store, digest)) {
     return {OfferVerdict::kUnwanted, 0, digest, {}};
   }
-  const std::size_t size = bytes.size();
-  store.shards[digest] = {size > kMaxShardBytes ? std::string() : std::move(bytes), size};
+  ShardContent content = ReadShard(bytes);
+  store.shards.emplace(digest,
+                       StoredShard{bytes.size() > kMaxShardBytes ? std::string() : std::move(bytes),
+                                   std::move(content)});
   const Settled settled = SettleCandidates(store, now);
   if (settled.is_accepted) {
     return {OfferVerdict::kAccepted, store.in_force.version, store.in_force.digest, {}};
--- a/src/config/internal/manifest.cc
+++ b/src/config/internal/manifest.cc
@@ -297,28 +297,26 @@
 
 // Appends the workspaces of one shard after checking it against the manifest.
 ConfigResult<void> AppendShard(const ShardReference& reference,
-                               std::string_view bytes,
+                               const ShardContent& shard,
                                std::vector<Workspace>& workspaces) {
-  const auto mismatch = [&reference](std::string_view reason) {
-    return ConfigError{ConfigErrorCode::kPartMismatch,
-                       "shard " + reference.digest + ": " + std::string(reason)};
+  const auto error_of = [&reference](ConfigErrorCode code, std::string_view reason) {
+    return ConfigError{code, "shard " + reference.digest + ": " + std::string(reason)};
   };
-  if (bytes.size() != reference.bytes) {
-    return mismatch("the size is not the one in the manifest");
+  if (shard.size != reference.bytes) {
+    return error_of(ConfigErrorCode::kPartMismatch, "the size is not the one in the manifest");
   }
-  if (Sha256Hex(bytes) != reference.digest) {
-    return mismatch("the digest is not the one in the manifest");
+  if (shard.digest != reference.digest) {
+    return error_of(ConfigErrorCode::kPartMismatch, "the digest is not the one in the manifest");
   }
-  auto parsed = ParseShard(bytes);
-  if (!parsed) {
-    ConfigError error = parsed.error();
-    error.message = "shard " + reference.digest + ": " + error.message;
-    return error;
+  if (!shard.workspaces) {
+    return error_of(shard.workspaces.error().code, shard.workspaces.error().message);
   }
-  if (parsed.value().size() != reference.workspaces) {
-    return mismatch("the number of workspaces is not the one in the manifest");
+  const std::vector<Workspace>& added = shard.workspaces.value();
+  if (added.size() != reference.workspaces) {
+    return error_of(ConfigErrorCode::kPartMismatch,
+                    "the number of workspaces is not the one in the manifest");
   }
-  std::ranges::move(parsed.value(), std::back_inserter(workspaces));
+  workspaces.insert(workspaces.end(), added.begin(), added.end());
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -379,8 +377,24 @@
   return workspaces;
 }
 
+ShardContent ReadShard(std::string_view bytes) {
+  return {bytes.size(), Sha256Hex(bytes), ParseShard(bytes)};
+}
+
 ConfigResult<Configuration> AssembleConfiguration(const Manifest& manifest,
                                                   std::span<const std::string_view> shards) {
+  std::vector<ShardContent> contents;
+  contents.reserve(shards.size());
+  std::vector<const ShardContent*> pointers;
+  pointers.reserve(shards.size());
+  for (const std::string_view bytes : shards) {
+    pointers.push_back(&contents.emplace_back(ReadShard(bytes)));
+  }
+  return JoinShards(manifest, pointers);
+}
+
+ConfigResult<Configuration> JoinShards(const Manifest& manifest,
+                                       std::span<const ShardContent* const> shards) {
   if (shards.size() != manifest.shards.size()) {
     return ConfigError{ConfigErrorCode::kPartMismatch, "the number of shards is wrong"};
   }
@@ -390,9 +404,14 @@
                               .pools = manifest.pools,
                               .services = manifest.services,
                               .workspaces = {}};
+  std::size_t count = 0;
+  for (const ShardReference& reference : manifest.shards) {
+    count += reference.workspaces;
+  }
+  configuration.workspaces.reserve(std::min(count, kMaxWorkspaces));
   for (std::size_t index = 0; index < shards.size(); ++index) {
     BOOST_OUTCOME_TRYV(
-        AppendShard(manifest.shards[index], shards[index], configuration.workspaces));
+        AppendShard(manifest.shards[index], *shards[index], configuration.workspaces));
   }
   std::ranges::sort(configuration.workspaces, {}, &Workspace::name);
   BOOST_OUTCOME_TRYV(ValidateConfiguration(configuration));
--- a/src/config/manifest.h
+++ b/src/config/manifest.h
@@ -57,11 +57,23 @@
 ConfigResult<Manifest> ParseManifest(std::string_view bytes);
 ConfigResult<std::vector<Workspace>> ParseShard(std::string_view bytes);
 
+// One shard after reading, whether valid or not.
+struct ShardContent {
+  std::size_t size = 0;
+  Digest digest;
+  ConfigResult<std::vector<Workspace>> workspaces = std::vector<Workspace>();
+};
+
+ShardContent ReadShard(std::string_view bytes);
+
 // Joins a manifest with its shards, `shards[i]` being the bytes of
 // `manifest.shards[i]`. Checks digests, sizes and names across shards. Stops at
 // the first error in manifest order, so that every router reports the same one.
 ConfigResult<Configuration> AssembleConfiguration(const Manifest& manifest,
                                                   std::span<const std::string_view> shards);
+// The same for shards that were read before.
+ConfigResult<Configuration> JoinShards(const Manifest& manifest,
+                                       std::span<const ShardContent* const> shards);
 
 // Checks every value and every name, and that lists are sorted without
 // duplicates. Returns the first error.
