--- a/src/ownership/internal/voter.cc
+++ b/src/ownership/internal/voter.cc
@@ -119,8 +119,8 @@
   // A router with a larger panel needs more answers than the asking owner counts.
   const bool needs_more = MajorityOf(std::min(panel, record.member_count)) >
                           MajorityOf(std::min(panel, request.member_count));
-  return record.acknowledged_at && !in_use && !needs_more &&
-         *record.acknowledged_at + detail::ReserveDelay(state.settings) > now;
+  return !in_use && !needs_more &&
+         record.acknowledged_at + detail::ReserveDelay(state.settings) > now;
 }
 
 void ReportRecord(const OwnershipState& state,
@@ -130,7 +130,7 @@
                   LeaseReply& reply) {
   if (IsAccounted(state, record, request, now)) {
     if (!record.left) {
-      const TimePoint until = *record.acknowledged_at + detail::ReserveDelay(state.settings);
+      const TimePoint until = record.acknowledged_at + detail::ReserveDelay(state.settings);
       reply.accounted_for = std::min(reply.accounted_for, until - now);
     }
     return;
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -43,7 +43,7 @@
   // The two latest replies to the router, to translate its acknowledgements into times.
   std::array<SentReply, 2> replies;
   // When the voter sent the latest reply that the router is known to have received.
-  std::optional<TimePoint> acknowledged_at;
+  TimePoint acknowledged_at = TimePoint::min();
   TimePoint heard_at;
   std::uint32_t reserve_divisor = 0;
   std::uint32_t member_count = 0;
--- a/src/placement/internal/choice.cc
+++ b/src/placement/internal/choice.cc
@@ -21,8 +21,9 @@
   DomainIndex domain;
 };
 
-// Cursors of all segments that the chat may use.
-struct Candidates {
+// Cursors of all segments that the chat may use. Only the first `size` are set:
+// clearing all of them would cost more than the choice.
+struct Candidates {  // NOLINT(cppcoreguidelines-pro-type-member-init)
   std::array<Cursor, detail::kMaxSegments> cursors;
   std::array<const Segment*, detail::kMaxSegments> segments;
   std::size_t size = 0;
@@ -195,9 +196,7 @@
   if (request.pool >= state.pools.size()) {
     return PlacementError{PlacementErrorCode::kUnknownPool, "the pool is unknown"};
   }
-  // Not initialised: only the first `size` cursors are used, and clearing all of
-  // them would cost more than the choice.
-  Candidates candidates;  // NOLINT(cppcoreguidelines-pro-type-member-init)
+  Candidates candidates;
   CollectCandidates(candidates, state, state.pools[request.pool], request.chat, now);
   const std::size_t top = Best(candidates, Scope::kAll, kNoDomain);
   if (top == kNone) {
--- a/src/placement/internal/exceptions_table.cc
+++ b/src/placement/internal/exceptions_table.cc
@@ -57,17 +57,16 @@
 
 void PutException(ExceptionsTable& table, ChatKey chat, UpstreamIndex upstream, TimePoint now) {
   const std::uint32_t now_ms = Milliseconds(table, now);
-  ExceptionEntry* victim = nullptr;
-  for (ExceptionEntry& entry : Set(table, chat)) {
+  const std::span<ExceptionEntry> set = Set(table, chat);
+  ExceptionEntry* victim = &set.front();
+  for (ExceptionEntry& entry : set) {
     if (Holds(entry, chat)) {
       victim = &entry;
       break;
     }
     const bool free_entry = entry.upstream == kNoUpstream;
-    const bool better =
-        victim == nullptr || (victim->upstream != kNoUpstream &&
-                              (free_entry || Age(entry, now_ms) > Age(*victim, now_ms)));
-    if (better) {
+    const bool older = Age(entry, now_ms) > Age(*victim, now_ms);
+    if (victim->upstream != kNoUpstream && (free_entry || older)) {
       victim = &entry;
     }
   }
--- a/src/placement/internal/segments.cc
+++ b/src/placement/internal/segments.cc
@@ -57,7 +57,7 @@
 
 std::int32_t WeightClass(std::int32_t capacity) {
   const auto value = static_cast<std::uint32_t>(std::max(capacity, 1));
-  const int width = std::bit_width(value);
+  const auto width = static_cast<int>(std::bit_width(value));
   const int dropped = std::max(0, width - 2);
   return static_cast<std::int32_t>((value >> dropped) << dropped);
 }
--- a/src/placement/tests/placement_test.cc
+++ b/src/placement/tests/placement_test.cc
@@ -79,6 +79,7 @@
   PlacementState state = MakeFleet(300);
   OwnAllWarm(state);
   std::vector<PlacementRequest> requests;
+  requests.reserve(2000);
   for (int chat = 0; chat < 2000; ++chat) {
     requests.push_back(Request(chat % 700));
   }
@@ -194,6 +195,7 @@
   PlacementState state = MakeFleet(21);
   constexpr int kChats = 2000;
   std::vector<UpstreamIndex> before;
+  before.reserve(kChats);
   for (int chat = 0; chat < kChats; ++chat) {
     before.push_back(Choose(state, chat));
   }
