--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -26,12 +26,24 @@
   std::size_t random_peers = 3;  // besides domain peers, per heartbeat period
   std::size_t push_peers = 4;    // for a new configuration or quarantine entry
   // Heartbeats to domain peers are spread over several periods when they would
-  // cost more than this. The rest of the 8 KB/s per node is for leases and
-  // configuration.
+  // cost more than `heartbeat_bytes_per_second`, or when all control messages of
+  // this router, averaged over `average_span`, would cost more than
+  // `control_bytes_per_second`. That is below the 8 KB/s per node because parts
+  // of shards come in bursts.
   std::uint64_t heartbeat_bytes_per_second = 4096;
+  std::uint64_t control_bytes_per_second = 6800;
+  Duration average_span = std::chrono::seconds(60);
   // A part that hasn't arrived after this is asked from another peer.
   Duration part_timeout = std::chrono::milliseconds(500);
   std::size_t parallel_pulls = 4;
+  // A router gives an object at most `copies_per_window` times per window, so
+  // that those who get a change first don't carry it to the whole fleet. Peers
+  // that have no configuration yet are exempt.
+  std::size_t copies_per_window = 2;
+  Duration copy_window = std::chrono::seconds(10);
+  // A pull older than this may turn to the service although peers announce the
+  // version.
+  Duration service_after = std::chrono::seconds(1);
   // Least time between two repairs (offer or quarantine set) to one peer.
   Duration repair_gap = std::chrono::seconds(1);
   // How long a new router puts its endpoint into its heartbeats.
@@ -66,17 +78,27 @@
   std::array<std::uint64_t, kMessageTypeCount> received_bytes{};
   // Moving average of a heartbeat frame, for the bound on the fan-out.
   double heartbeat_bytes = 400;
+  // Average of all other messages, and the total at its last update.
+  double other_bytes_per_second = 0;
+  std::uint64_t other_bytes_seen = 0;
 };
 
 // A manifest or shard that is being pulled.
 struct Pull {
   bool is_manifest = false;
-  std::string peer;  // asked last
+  std::string peer;  // asked last; empty while no known peer can give it
+  TimePoint started_at;
   TimePoint asked_at;
   std::string received;
   std::set<std::string> failed_peers;
 };
 
+// How often an object was given to peers in the running window.
+struct CopyCount {
+  TimePoint window_start;
+  std::size_t copies = 0;
+};
+
 struct QuarantineRecord {
   std::uint32_t deaths = 0;
   TimePoint expires_at;
@@ -96,6 +118,7 @@
   ConfigVersion wanted;
   std::map<std::string, Pull, std::less<>> pulls;  // by digest
   std::set<std::string, std::less<>> refused_digests;
+  std::map<std::string, CopyCount, std::less<>> copies;  // by digest
   // Last announcement of each peer, by heartbeat or offer.
   std::map<std::string, ConfigVersion, std::less<>> peer_config;
   std::map<std::string, TimePoint, std::less<>> last_offer;       // by peer
--- a/src/fleet/internal/config_pull.cc
+++ b/src/fleet/internal/config_pull.cc
@@ -44,18 +44,34 @@
   return holders;
 }
 
+ConfigRequest MakeRequest(const GossipStep& step, const std::string& digest, std::uint64_t offset) {
+  return {digest, offset, step.exchange.in_force().version == 0};
+}
+
 void AskNextPeer(GossipStep& step, const std::string& digest, Pull& pull) {
   const std::uint64_t least =
       pull.is_manifest ? step.gossip.wanted.version : step.exchange.pending().version;
   const auto holders = Holders(step, least, pull);
   pull.asked_at = step.now;
-  pull.received.clear();
   if (holders.empty()) {
     pull.peer.clear();
     return;
   }
   pull.peer = holders[RandomIndex(step.gossip.random, holders.size())];
-  Send(step, pull.peer, ConfigRequest{digest, 0});
+  // Parts from several peers fit together, because the digest names the bytes.
+  Send(step, pull.peer, MakeRequest(step, digest, pull.received.size()));
+}
+
+// The highest version that a peer announces beyond what this router has.
+ConfigVersion WantedVersion(const GossipStep& step) {
+  ConfigVersion wanted;
+  wanted.version = KnownVersion(step.exchange);
+  for (const auto& [peer, config] : step.gossip.peer_config) {
+    if (config.version > wanted.version && !step.gossip.refused_digests.contains(config.digest)) {
+      wanted = config;
+    }
+  }
+  return wanted.digest.empty() ? ConfigVersion() : wanted;
 }
 
 // Ends a failed attempt; the next peer is asked at once. A peer that doesn't
@@ -65,6 +81,7 @@
   pull.failed_peers.insert(pull.peer);
   if (pull.is_manifest) {
     step.gossip.peer_config.erase(pull.peer);
+    step.gossip.wanted = WantedVersion(step);
   }
   AskNextPeer(step, digest, pull);
 }
@@ -75,21 +92,10 @@
   }
   Pull& pull = step.gossip.pulls[digest];
   pull.is_manifest = is_manifest;
+  pull.started_at = step.now;
   AskNextPeer(step, digest, pull);
 }
 
-// The highest version that a peer announces beyond what this router has.
-ConfigVersion WantedVersion(const GossipStep& step) {
-  ConfigVersion wanted;
-  wanted.version = KnownVersion(step.exchange);
-  for (const auto& [peer, config] : step.gossip.peer_config) {
-    if (config.version > wanted.version && !step.gossip.refused_digests.contains(config.digest)) {
-      wanted = config;
-    }
-  }
-  return wanted.digest.empty() ? ConfigVersion() : wanted;
-}
-
 // Drops pulls that nobody needs any more and retries those that got stuck.
 void MaintainPulls(GossipStep& step, const std::vector<std::string>& missing) {
   Gossip& gossip = step.gossip;
@@ -98,15 +104,12 @@
                                    : std::ranges::find(missing, item.first) == missing.end();
   });
   for (auto& [digest, pull] : gossip.pulls) {
-    if (step.now - pull.asked_at < gossip.settings.part_timeout) {
-      continue;
-    }
-    if (!pull.peer.empty()) {
+    if (pull.peer.empty()) {
+      // Another holder may have announced the version since.
+      AskNextPeer(step, digest, pull);
+    } else if (step.now - pull.asked_at >= gossip.settings.part_timeout) {
       FailPeer(step, digest, pull);
-      continue;
     }
-    // Every known holder failed; others may have announced the version since.
-    AskNextPeer(step, digest, pull);
   }
 }
 
@@ -127,9 +130,24 @@
   }
 }
 
+// False when this router has given the object to enough peers for now.
+bool CountCopy(GossipStep& step, const std::string& digest) {
+  const GossipSettings& settings = step.gossip.settings;
+  std::erase_if(step.gossip.copies, [&](const auto& item) {
+    return step.now - item.second.window_start >= settings.copy_window;
+  });
+  CopyCount& count = step.gossip.copies.try_emplace(digest, CopyCount{step.now, 0}).first->second;
+  if (count.copies >= settings.copies_per_window) {
+    return false;
+  }
+  ++count.copies;
+  return true;
+}
+
 void FinishPull(GossipStep& step, const std::string& digest) {
   const auto found = step.gossip.pulls.find(digest);
   if (Sha256Hex(found->second.received) != digest) {
+    found->second.received.clear();
     FailPeer(step, digest, found->second);
     return;
   }
@@ -148,7 +166,12 @@
   Gossip& gossip = step.gossip;
   gossip.peer_config[std::string(sender)] = config;
   const ConfigVersion own = step.exchange.in_force();
-  if (config.version >= KnownVersion(step.exchange)) {
+  const std::uint64_t known_version = KnownVersion(step.exchange);
+  if (config.version > std::max(known_version, gossip.wanted.version) &&
+      !gossip.refused_digests.contains(config.digest)) {
+    gossip.wanted = config;
+  }
+  if (config.version >= known_version) {
     for (auto& [digest, pull] : gossip.pulls) {
       pull.failed_peers.erase(std::string(sender));
     }
@@ -176,7 +199,11 @@
 }
 
 void HandleRequest(GossipStep& step, std::string_view sender, const ConfigRequest& request) {
-  const std::string_view bytes = step.exchange.bytes(request.digest);
+  std::string_view bytes = step.exchange.bytes(request.digest);
+  if (request.offset == 0 && !request.urgent && !bytes.empty() &&
+      !CountCopy(step, request.digest)) {
+    bytes = {};
+  }
   ConfigPart part{request.digest, request.offset, 0, {}};
   if (request.offset < bytes.size()) {
     part.total = bytes.size();
@@ -200,7 +227,7 @@
   pull.received += part.bytes;
   pull.asked_at = step.now;
   if (pull.received.size() < part.total) {
-    Send(step, sender, ConfigRequest{part.digest, pull.received.size()});
+    Send(step, sender, MakeRequest(step, part.digest, pull.received.size()));
     return;
   }
   FinishPull(step, part.digest);
@@ -223,7 +250,9 @@
 
 void AdvanceConfig(GossipStep& step) {
   Gossip& gossip = step.gossip;
-  gossip.wanted = WantedVersion(step);
+  if (gossip.wanted.version != 0 && gossip.wanted.version <= KnownVersion(step.exchange)) {
+    gossip.wanted = WantedVersion(step);
+  }
   const auto missing = step.exchange.missing_digests();
   MaintainPulls(step, missing);
   if (gossip.wanted.version != 0) {
@@ -244,12 +273,21 @@
   PushConfig(step, in_force);
 }
 
-std::string ShardForService(const Gossip& gossip, const ConfigExchange& exchange) {
-  for (const std::string& digest : exchange.missing_digests()) {
+std::string ShardForService(const GossipStep& step) {
+  const Gossip& gossip = step.gossip;
+  const std::uint64_t version = step.exchange.pending().version;
+  const bool is_announced = std::ranges::any_of(
+      gossip.peer_config, [&](const auto& item) { return item.second.version >= version; });
+  for (const std::string& digest : step.exchange.missing_digests()) {
     const auto found = gossip.pulls.find(digest);
-    if (found != gossip.pulls.end() &&
-        (found->second.peer.empty() ||
-         found->second.failed_peers.size() >= kPeerFailuresBeforeService)) {
+    if (found == gossip.pulls.end()) {
+      continue;
+    }
+    const Pull& pull = found->second;
+    const bool peers_fail =
+        pull.peer.empty() || pull.failed_peers.size() >= kPeerFailuresBeforeService;
+    if (peers_fail &&
+        (!is_announced || step.now - pull.started_at >= gossip.settings.service_after)) {
       return digest;
     }
   }
--- a/src/fleet/internal/config_reader.cc
+++ b/src/fleet/internal/config_reader.cc
@@ -94,10 +94,13 @@
     call.key = "shard/" + shard_digest;
     return StartCall(reader, std::move(call), now);
   }
+  // A reader's first read doesn't wait for the time of a first probe.
+  const bool is_first = reader.calls == 0;
+  if (now < reader.next_manifest && !is_first) {
+    return std::nullopt;
+  }
   const bool is_reader = IsConfigReader(reader.settings, membership);
-  // Readers needn't wait for their first read longer than `next_call`.
-  const bool first_watch = is_reader && reader.calls == 0;
-  if (now < reader.next_manifest && !first_watch) {
+  if (now < reader.next_manifest && !is_reader) {
     return std::nullopt;
   }
   call.key = kManifestKey;
--- a/src/fleet/internal/gossip.cc
+++ b/src/fleet/internal/gossip.cc
@@ -10,10 +10,14 @@
 namespace geraniumspread::fleet {
 namespace detail {
 
+bool IsReachablePeer(const Membership& membership, const RouterMember& router) {
+  return router.member && router.id != membership.self_id && !router.endpoint.address.empty();
+}
+
 std::vector<std::string> ReachablePeers(const Membership& membership) {
   std::vector<std::string> peers;
   for (const RouterMember& router : membership.routers) {
-    if (router.member && router.id != membership.self_id && !router.endpoint.address.empty()) {
+    if (IsReachablePeer(membership, router)) {
       peers.push_back(router.id);
     }
   }
@@ -36,6 +40,24 @@
 // Weight of the newest frame in the average heartbeat size.
 constexpr double kSizeWeight = 0.1;
 
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Called once per heartbeat period.
+void UpdateAverage(Gossip& gossip) {
+  ControlMeter& meter = gossip.meter;
+  std::uint64_t other = 0;
+  for (std::size_t type = 0; type < kMessageTypeCount; ++type) {
+    other += type == PeerMessage(Heartbeat()).index() ? 0 : meter.sent_bytes.at(type);
+  }
+  const double period = Seconds(gossip.settings.heartbeat_period);
+  const double rate = static_cast<double>(other - meter.other_bytes_seen) / period;
+  meter.other_bytes_seen = other;
+  meter.other_bytes_per_second +=
+      (rate - meter.other_bytes_per_second) * period / Seconds(gossip.settings.average_span);
+}
+
 struct HeartbeatPeers {
   std::vector<std::string> domain;
   std::vector<std::string> others;
@@ -54,10 +76,12 @@
 // taken in turn so that each is reached equally often.
 std::vector<std::string> TakeDomainPeers(Gossip& gossip, std::vector<std::string> peers) {
   const GossipSettings& settings = gossip.settings;
-  const double period = std::chrono::duration<double>(settings.heartbeat_period).count();
-  const auto affordable =
-      static_cast<std::size_t>(static_cast<double>(settings.heartbeat_bytes_per_second) * period /
-                               gossip.meter.heartbeat_bytes);
+  const double period = Seconds(settings.heartbeat_period);
+  const double left =
+      static_cast<double>(settings.control_bytes_per_second) - gossip.meter.other_bytes_per_second;
+  const double budget =
+      std::clamp(left, 0.0, static_cast<double>(settings.heartbeat_bytes_per_second));
+  const auto affordable = static_cast<std::size_t>(budget * period / gossip.meter.heartbeat_bytes);
   const std::size_t count =
       std::max(kLeastDomainPeers, affordable - std::min(affordable, settings.random_peers));
   if (peers.size() <= count) {
@@ -88,11 +112,29 @@
   return heartbeat;
 }
 
+void ForgetPeers(GossipStep& step) {
+  const auto gone = [&](const auto& item) {
+    const RouterMember* router = FindRouter(step.membership, item.first);
+    return router == nullptr || !router->member;
+  };
+  std::erase_if(step.gossip.peer_config, gone);
+  std::erase_if(step.gossip.last_offer, gone);
+  std::erase_if(step.gossip.last_quarantine, gone);
+}
+
+std::size_t CountReachablePeers(const Membership& membership) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      membership.routers,
+      [&](const RouterMember& router) { return detail::IsReachablePeer(membership, router); }));
+}
+
 void SendHeartbeats(GossipStep& step) {
   Gossip& gossip = step.gossip;
   if (step.now < gossip.next_heartbeat) {
     return;
   }
+  ForgetPeers(step);
+  UpdateAverage(gossip);
   const Duration period = gossip.settings.heartbeat_period;
   // After a pause the missed periods are skipped, not made up for.
   gossip.next_heartbeat = std::max(gossip.next_heartbeat + period, step.now + period / 2);
@@ -111,24 +153,13 @@
   Gossip& gossip = step.gossip;
   const std::uint64_t known =
       std::max(step.exchange.in_force().version, step.exchange.pending().version);
-  auto call =
-      NextServiceCall(gossip.reader, step.membership, known,
-                      detail::ShardForService(gossip, step.exchange), gossip.random, step.now);
+  auto call = NextServiceCall(gossip.reader, step.membership, known, detail::ShardForService(step),
+                              gossip.random, step.now);
   if (call) {
     step.output.service_calls.push_back(std::move(*call));
   }
 }
 
-void ForgetPeers(GossipStep& step) {
-  const auto gone = [&](const auto& item) {
-    const RouterMember* router = FindRouter(step.membership, item.first);
-    return router == nullptr || !router->member;
-  };
-  std::erase_if(step.gossip.peer_config, gone);
-  std::erase_if(step.gossip.last_offer, gone);
-  std::erase_if(step.gossip.last_quarantine, gone);
-}
-
 void Dispatch(GossipStep& step, std::string_view sender, const PeerMessage& message) {
   std::visit(
       [&](const auto& typed) {
@@ -173,7 +204,6 @@
                         TimePoint now) {
   GossipOutput output;
   GossipStep step{gossip, membership, exchange, now, output};
-  ForgetPeers(step);
   SendHeartbeats(step);
   detail::AdvanceQuarantine(step);
   detail::AdvanceConfig(step);
@@ -215,8 +245,7 @@
               TimePoint now) {
   const bool behind = gossip.wanted.version != 0 || exchange.pending().version != 0;
   const bool waited = now - gossip.started_at >= gossip.settings.ask_peers_for;
-  const std::size_t enough =
-      std::min(gossip.settings.ask_peers, detail::ReachablePeers(membership).size());
+  const std::size_t enough = std::min(gossip.settings.ask_peers, CountReachablePeers(membership));
   const bool asked = membership.list_revision != 0 && gossip.peer_config.size() >= enough;
   return exchange.in_force().version != 0 && (waited || (asked && !behind));
 }
--- a/src/fleet/internal/gossip_internal.h
+++ b/src/fleet/internal/gossip_internal.h
@@ -33,7 +33,7 @@
 // Starts, continues and ends pulls, and pushes a version that came into force.
 void AdvanceConfig(GossipStep& step);
 // A shard that no peer can give, or empty.
-std::string ShardForService(const Gossip& gossip, const ConfigExchange& exchange);
+std::string ShardForService(const GossipStep& step);
 
 // Quarantine.
 void MergeQuarantine(GossipStep& step, const Quarantine& message);
--- a/src/fleet/internal/message_json.cc
+++ b/src/fleet/internal/message_json.cc
@@ -127,6 +127,19 @@
   return text;
 }
 
+// True for ASCII text that JSON escapes make less than a third longer.
+bool IsShorterAsText(const std::string& bytes) {
+  std::size_t escaped = 0;
+  for (const char byte : bytes) {
+    const bool has_short_escape = byte == '"' || byte == '\\' || byte == '\n' || byte == '\t';
+    if (!has_short_escape && (byte < ' ' || byte > '~')) {
+      return false;
+    }
+    escaped += has_short_escape ? 1 : 0;
+  }
+  return escaped < bytes.size() / 3;
+}
+
 std::optional<std::string> Base64Decode(const std::string& text) {
   if (text.size() % 4 != 0) {
     return std::nullopt;
@@ -238,6 +251,9 @@
 
 Json::Value Write(const ConfigRequest& message) {
   Json::Value object(Json::objectValue);
+  if (message.urgent) {
+    object["urgent"] = true;
+  }
   object["digest"] = message.digest;
   object["offset"] = Json::UInt64(message.offset);
   return object;
@@ -248,7 +264,11 @@
   object["digest"] = message.digest;
   object["offset"] = Json::UInt64(message.offset);
   object["total"] = Json::UInt64(message.total);
-  object["bytes"] = Base64Encode(message.bytes);
+  if (IsShorterAsText(message.bytes)) {
+    object["text"] = message.bytes;
+  } else {
+    object["bytes"] = Base64Encode(message.bytes);
+  }
   return object;
 }
 
@@ -348,12 +368,17 @@
 void Read(FieldReader& reader, ConfigRequest& message) {
   message.digest = reader.RequiredId("digest");
   message.offset = reader.Unsigned("offset", 0);
+  message.urgent = reader.Has("urgent") && reader.object["urgent"] == Json::Value(true);
 }
 
 void Read(FieldReader& reader, ConfigPart& message) {
   message.digest = reader.RequiredId("digest");
   message.offset = reader.Unsigned("offset", 0);
   message.total = reader.RequiredUnsigned("total");
+  if (reader.Has("text")) {
+    message.bytes = reader.Text("text", kMaxPartBytes);
+    return;
+  }
   auto bytes = Base64Decode(reader.Text("bytes", kMaxPartBytes * 2));
   if (!bytes || bytes->size() > kMaxPartBytes) {
     reader.Fail("bytes", "no base64 within its limit");
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -74,16 +74,19 @@
 struct ConfigRequest {
   std::string digest;
   std::uint64_t offset = 0;
+  // The sender has no configuration in force.
+  bool urgent = false;
 
   bool operator==(const ConfigRequest&) const = default;
 };
 
-// Part of a manifest or shard. `total` 0 means the sender doesn't have it.
+// Part of a manifest or shard. `total` 0 means that the sender doesn't have it or
+// has given it to enough peers for now.
 struct ConfigPart {
   std::string digest;
   std::uint64_t offset = 0;
   std::uint64_t total = 0;
-  std::string bytes;  // base64 on the wire
+  std::string bytes;  // on the wire as text, or as base64 where that is shorter
 
   bool operator==(const ConfigPart&) const = default;
 };
--- a/src/fleet/tests/peer_codec_test.cc
+++ b/src/fleet/tests/peer_codec_test.cc
@@ -28,8 +28,9 @@
           LeaseReply{1, {"e1"}, {"e2"}},
           LeaseRelease{2, {"e1"}},
           ConfigOffer{config, std::string("a\0manifest\xff", 11)},
-          ConfigRequest{std::string(64, 'b'), 40960},
-          ConfigPart{std::string(64, 'b'), 0, 5, "bytes"},
+          ConfigRequest{std::string(64, 'b'), 40960, true},
+          ConfigPart{std::string(64, 'b'), 0, 5, "\xff\x01 no text"},
+          ConfigPart{std::string(64, 'b'), 0, 5, "text of a \"shard\" with a long line\n"},
           Quarantine{{{"f1", 2, std::chrono::milliseconds(5000)}}}};
 }
 
