--- a/src/fleet/tests/peer_codec_test.cc
+++ b/src/fleet/tests/peer_codec_test.cc
@@ -36,8 +36,9 @@
                      {{"r1", "r2"}}},
           LeaseRelease{2, {"e1"}, true},
           ConfigOffer{config, std::string("a\0manifest\xff", 11)},
-          ConfigRequest{std::string(64, 'b'), 40960},
-          ConfigPart{std::string(64, 'b'), 0, 5, "bytes"},
+          ConfigRequest{std::string(64, 'b'), 40960, true},
+          ConfigPart{std::string(64, 'b'), 0, 5, "\xff\x01 no text"},
+          ConfigPart{std::string(64, 'b'), 0, 5, "text of a \"shard\" with a long line\n"},
           Quarantine{{{"f1", 2, std::chrono::milliseconds(5000)}}}};
 }
 
