Keep ticket expiries independent of handover delays

An export carried the remaining time of each state. Two exports of one table with different delays could then drop a state before its ticket expired, and a late copy could make expired tickets of a taken-over incarnation valid again. States now carry the ticket's own offset, and taken-over incarnations are never forgotten. CopiesOfAHandoverMoveNoExpiry covers both.

--- a/src/admission/tests/owner_queue_test.cc
+++ b/src/admission/tests/owner_queue_test.cc
@@ -25,6 +25,17 @@
   return decision.request ? std::optional(decision.request->request) : std::nullopt;
 }
 
+// Queues one request per handle in [from, to), spread over `workspaces` from 1 on.
+void Fill(OwnerQueue& queue,
+          RequestHandle from,
+          RequestHandle to,
+          WorkspaceKey workspaces,
+          PriorityClass priority = PriorityClass::kDraft) {
+  for (RequestHandle handle = from; handle < to; ++handle) {
+    Enqueue(queue, Request(handle, 1 + handle % workspaces, priority), kStart);
+  }
+}
+
 // Counts the dispatches per workspace until `rounds` slots were free.
 std::map<WorkspaceKey, int> DispatchPerWorkspace(OwnerQueue& queue, int rounds) {
   std::map<WorkspaceKey, int> counts;
@@ -54,9 +65,7 @@
 // Guards against a workspace that saves up a share while it is idle, or pays for cancelled work.
 BOOST_AUTO_TEST_CASE(IdleAndCancelledWorkChangesNoShare) {
   OwnerQueue queue = MakeOwnerQueue({});
-  for (RequestHandle handle = 0; handle < 20; ++handle) {
-    Enqueue(queue, Request(handle, 1), kStart);
-  }
+  Fill(queue, 0, 20, 1);
   DispatchPerWorkspace(queue, 10);
   for (RequestHandle handle = 100; handle < 130; ++handle) {
     Enqueue(queue, Request(handle, 2), kStart);
@@ -106,9 +115,7 @@
 // A queue of 10 places, full of drafts, and a suggestion that arrives.
 EnqueueDecision SuggestionAtFullQueue(bool shed_least_urgent) {
   OwnerQueue queue = MakeOwnerQueue({.max_queued = 10, .shed_least_urgent = shed_least_urgent});
-  for (RequestHandle handle = 0; handle < 9; ++handle) {
-    Enqueue(queue, Request(handle, handle % 3), kStart);
-  }
+  Fill(queue, 0, 9, 3);
   return Enqueue(queue, Request(99, 5, PriorityClass::kSuggestion), kStart);
 }
 
@@ -130,9 +137,7 @@
 BOOST_AUTO_TEST_CASE(FullQueueShedsFromTheLongestBacklog) {
   for (const bool fair : {true, false}) {
     OwnerQueue queue = MakeOwnerQueue({.max_queued = 10, .fair_between_workspaces = fair});
-    for (RequestHandle handle = 0; handle < 9; ++handle) {
-      Enqueue(queue, Request(handle, 1), kStart);
-    }
+    Fill(queue, 0, 9, 1);
     const EnqueueDecision decision = Enqueue(queue, Request(99, 2), kStart);
     BOOST_TEST(decision.refusal.has_value() == !fair);
     BOOST_TEST(decision.shed.has_value() == fair);
@@ -143,12 +148,8 @@
 BOOST_AUTO_TEST_CASE(BatchReserveIsNotShed) {
   for (const double reserved : {0.1, 0.0}) {
     OwnerQueue queue = MakeOwnerQueue({.max_queued = 20, .batch_reserved_part = reserved});
-    for (RequestHandle handle = 0; handle < 20; ++handle) {
-      Enqueue(queue, Request(handle, 1, PriorityClass::kBatch), kStart);
-    }
-    for (RequestHandle handle = 100; handle < 150; ++handle) {
-      Enqueue(queue, Request(handle, handle, PriorityClass::kSuggestion), kStart);
-    }
+    Fill(queue, 0, 20, 1, PriorityClass::kBatch);
+    Fill(queue, 100, 150, 1'000, PriorityClass::kSuggestion);
     BOOST_TEST(queue.waiting.size() == 20U);
     BOOST_TEST(queue.queued[3] == (reserved > 0 ? 2U : 0U));
   }
@@ -157,9 +158,7 @@
 // Guards against batch work that finds no place in a queue full of urgent work.
 BOOST_AUTO_TEST_CASE(BatchEntersBesideFullUrgentQueue) {
   OwnerQueue queue = MakeOwnerQueue({.max_queued = 20});
-  for (RequestHandle handle = 0; handle < 50; ++handle) {
-    Enqueue(queue, Request(handle, handle, PriorityClass::kSuggestion), kStart);
-  }
+  Fill(queue, 0, 50, 1'000, PriorityClass::kSuggestion);
   BOOST_TEST(!Enqueue(queue, Request(99, 1, PriorityClass::kBatch), kStart).refusal);
 }
 
@@ -168,9 +167,7 @@
   for (const bool shed : {true, false}) {
     OwnerQueue queue = MakeOwnerQueue({.shed_by_deadline = shed});
     NoteRunTime(queue, PriorityClass::kDraft, milliseconds(100));
-    for (RequestHandle handle = 0; handle < 20; ++handle) {
-      Enqueue(queue, Request(handle, handle), kStart);
-    }
+    Fill(queue, 0, 20, 1'000);
     QueuedRequest late = Request(99, 99);
     late.deadline = kStart + milliseconds(500);
     const EnqueueDecision decision = Enqueue(queue, late, kStart);
@@ -220,9 +217,7 @@
 // Guards against a stop that drops queued work, takes new work, or never ends.
 BOOST_AUTO_TEST_CASE(DrainServesTheQueueAndRefusesTheRestAtItsDeadline) {
   OwnerQueue queue = MakeOwnerQueue({});
-  for (RequestHandle handle = 0; handle < 3; ++handle) {
-    Enqueue(queue, Request(handle, 1), kStart);
-  }
+  Fill(queue, 0, 3, 1);
   BeginDrain(queue, kStart + seconds(10));
   const auto late = Enqueue(queue, Request(9, 1), kStart);
   BOOST_TEST((CodeOf(late.refusal) == RefusalCode::kDraining));
--- a/src/outcomes/internal/ticket_handover.cc
+++ b/src/outcomes/internal/ticket_handover.cc
@@ -7,21 +7,29 @@
 
 // Longest chain of planned stops within one ticket lifetime that is followed.
 constexpr int kMaxSuccessorHops = 16;
-constexpr std::size_t kMaxRefusedHandovers = 256;
+// Handovers that one process can take or refuse. They are remembered for good; at one or two a day
+// per router, the bound is far off.
+constexpr std::size_t kMaxHandovers = 1'024;
 
 OutcomeError NotSuccessor() {
   return MakeOutcomeError(OutcomeCode::kTicketsHandedOver, RunState::kNotRun, false, Duration{0});
 }
 
-ExportedTicket Export(const std::string& random, const TicketEntry& entry, TimePoint now) {
+std::optional<TimePoint> StartOf(const TicketTable& table, const RouterIncarnation& incarnation) {
+  const auto found = std::ranges::find(table.served, incarnation, &ServedIncarnation::incarnation);
+  return found != table.served.end() ? std::optional(found->started_at) : std::nullopt;
+}
+
+ExportedTicket Export(const std::string& random, const TicketEntry& entry, TimePoint issuer_start) {
   const bool running = entry.state == TicketState::kRunning;
-  return {.random = random,
-          .issuer = entry.issuer,
-          .state = running ? TicketState::kUnknown : entry.state,
-          .call_digest = entry.call_digest,
-          .expires_in = entry.expires_at - now,
-          .response_kept = entry.response_kept,
-          .response = entry.response};
+  return {
+      .random = random,
+      .issuer = entry.issuer,
+      .state = running ? TicketState::kUnknown : entry.state,
+      .call_digest = entry.call_digest,
+      .expires_at = std::chrono::ceil<std::chrono::milliseconds>(entry.expires_at - issuer_start),
+      .response_kept = entry.response_kept,
+      .response = entry.response};
 }
 
 std::size_t BytesOf(const ExportedTicket& ticket) {
@@ -35,21 +43,22 @@
     entries += table.entries.contains(ticket.random) ? 0 : 1;
     bytes += BytesOf(ticket);
   }
-  return entries <= table.policy.max_entries && bytes <= table.policy.max_total_bytes;
+  const std::size_t handovers = table.served.size() + table.refused_handovers.size();
+  return entries <= table.policy.max_entries && bytes <= table.policy.max_total_bytes &&
+         handovers + handover.incarnations.size() <= kMaxHandovers;
 }
 
 void ImportIncarnation(TicketTable& table, const ExportedIncarnation& exported, TimePoint now) {
-  const bool known = std::ranges::any_of(table.served, [&](const ServedIncarnation& served) {
-    return served.incarnation == exported.incarnation;
-  });
-  if (!known) {
-    table.served.push_back({.incarnation = exported.incarnation,
-                            .started_at = now - exported.age,
-                            .forget_at = now + table.policy.lifetime});
+  if (!StartOf(table, exported.incarnation)) {
+    table.served.push_back({.incarnation = exported.incarnation, .started_at = now - exported.age});
   }
 }
 
 void ImportTicket(TicketTable& table, const ExportedTicket& exported, TimePoint now) {
+  const auto issuer_start = StartOf(table, exported.issuer);
+  if (!issuer_start || *issuer_start + exported.expires_at <= now) {
+    return;
+  }
   if (const auto found = table.entries.find(exported.random);
       found != table.entries.end() &&
       (found->second.state != TicketState::kUnknown || exported.state != TicketState::kFinished)) {
@@ -59,7 +68,7 @@
   table.reserved_bytes += BytesOf(exported) - entry.reserved_bytes;
   entry = {.state = exported.state,
            .call_digest = exported.call_digest,
-           .expires_at = now + exported.expires_in,
+           .expires_at = *issuer_start + exported.expires_at,
            .issuer = exported.issuer,
            .dispatched = true,
            .response_kept = exported.response_kept,
@@ -69,10 +78,10 @@
 }
 
 void RememberRefusal(TicketTable& table, const RouterIncarnation& from) {
-  if (table.refused_handovers.size() == kMaxRefusedHandovers) {
-    table.refused_handovers.erase(table.refused_handovers.begin());
+  // At the bound, every further handover is refused anyway.
+  if (table.refused_handovers.size() < kMaxHandovers) {
+    table.refused_handovers.push_back(from);
   }
-  table.refused_handovers.push_back(from);
 }
 
 }  // namespace
@@ -91,8 +100,9 @@
   }
   for (const auto& [random, entry] : table.entries) {
     const bool never_sent = entry.state == TicketState::kRunning && !entry.dispatched;
-    if (entry.expires_at > now && !never_sent) {
-      handover.tickets.push_back(Export(random, entry, now));
+    const auto issuer_start = StartOf(table, entry.issuer);
+    if (entry.expires_at > now && !never_sent && issuer_start) {
+      handover.tickets.push_back(Export(random, entry, *issuer_start));
     }
   }
   return handover;
--- a/src/outcomes/internal/tickets.cc
+++ b/src/outcomes/internal/tickets.cc
@@ -274,9 +274,6 @@
 }
 
 void TickTickets(TicketTable& table, TimePoint now) {
-  std::erase_if(table.served, [&](const ServedIncarnation& served) {
-    return served.incarnation != table.self && served.forget_at <= now;
-  });
   if (now < table.earliest_expiry) {
     return;
   }
--- a/src/outcomes/tests/tickets_test.cc
+++ b/src/outcomes/tests/tickets_test.cc
@@ -44,13 +44,14 @@
   return decision && decision.value().action == TicketAction::kRun;
 }
 
+void Dispatch(TicketTable& table, const Ticket& ticket) {
+  BOOST_TEST(MayRun(table, ticket));
+  BOOST_TEST(MarkTicketDispatched(table, ticket, kStart).has_value());
+}
+
 // Dispatches the call and stores an answer.
-void Run(TicketTable& table,
-         const Ticket& ticket,
-         const std::string& body,
-         TimePoint now = kStart) {
-  BOOST_TEST(MayRun(table, ticket, now));
-  BOOST_TEST(MarkTicketDispatched(table, ticket, now).has_value());
+void Run(TicketTable& table, const Ticket& ticket, const std::string& body) {
+  Dispatch(table, ticket);
   FinishTicket(table, ticket, {.status = 200, .content_type = "text/plain", .body = body});
 }
 
@@ -138,8 +139,7 @@
 BOOST_AUTO_TEST_CASE(LostCallStaysUnknownAndRefusedCallStaysUnused) {
   TicketTable table = MakeTable();
   const Ticket lost = Issue(table, 1);
-  BOOST_TEST(MayRun(table, lost));
-  BOOST_TEST(MarkTicketDispatched(table, lost, kStart).has_value());
+  Dispatch(table, lost);
   ReleaseTicket(table, lost);
   const auto repeated = BeginTicket(table, lost, kDigest, kStart);
   BOOST_TEST((CodeOf(repeated) == OutcomeCode::kOutcomeUnknown));
@@ -147,8 +147,7 @@
   const Ticket refused = Issue(table, 2);
   BOOST_TEST(MayRun(table, refused));
   ReleaseTicket(table, refused);
-  BOOST_TEST(MayRun(table, refused));
-  BOOST_TEST(MarkTicketDispatched(table, refused, kStart).has_value());
+  Dispatch(table, refused);
   ReleaseTicket(table, refused, true);
   BOOST_TEST(MayRun(table, refused));
 }
@@ -190,12 +189,10 @@
   int number = 0;
   const std::string large(900, 'x');
   Ticket ticket = Issue(table, number);
-  while (MayRun(table, ticket)) {
-    BOOST_TEST(MarkTicketDispatched(table, ticket, kStart).has_value());
-    FinishTicket(table, ticket, {.status = 200, .content_type = "", .body = large});
+  while (number < 4) {
+    Run(table, ticket, large);
     ticket = Issue(table, ++number);
   }
-  BOOST_TEST(number == 4);
   BOOST_TEST(MemoryOf(table) <= 4'000U);
   const auto full = BeginTicket(table, ticket, kDigest, kStart);
   BOOST_TEST((CodeOf(full) == OutcomeCode::kTicketTableFull));
@@ -229,8 +226,7 @@
   const Ticket lost = Issue(old_table, 3);
   const Ticket queued = Issue(old_table, 4);
   Run(old_table, finished, "order 12");
-  BOOST_TEST(MayRun(old_table, lost));
-  BOOST_TEST(MarkTicketDispatched(old_table, lost, kStart).has_value());
+  Dispatch(old_table, lost);
   BOOST_TEST(MayRun(old_table, queued));
   BOOST_TEST(!MayRun(successor, unused));
 
@@ -260,6 +256,28 @@
               OutcomeCode::kTicketExpired));
 }
 
+// Guards against a state that is dropped before its ticket expires, because two exports had
+// different delays, and against a late copy that makes expired tickets valid again.
+BOOST_AUTO_TEST_CASE(CopiesOfAHandoverMoveNoExpiry) {
+  TicketTable old_table = MakeTable();
+  TicketTable successor = MakeTable({}, kRouterB);
+  const Ticket ticket = Issue(old_table, 1);
+  const Ticket unused = Issue(old_table, 2);
+  Dispatch(old_table, ticket);
+  const auto slow = ExportTickets(old_table, kRouterB, kStart).value();
+  const TimePoint taken = kStart + seconds(5);
+  BOOST_TEST(ImportTickets(successor, slow, taken).has_value());
+  FinishTicket(old_table, ticket, {.status = 200, .content_type = "", .body = "order 13"});
+  const auto fast = ExportTickets(old_table, kRouterB, taken).value();
+  BOOST_TEST(ImportTickets(successor, fast, taken).has_value());
+  for (TimePoint now = taken + minutes(9); now < taken + minutes(11); now += seconds(1)) {
+    TickTickets(successor, now);
+    BOOST_TEST(!MayRun(successor, ticket, now));
+  }
+  BOOST_TEST(ImportTickets(successor, slow, taken + minutes(11)).has_value());
+  BOOST_TEST(!MayRun(successor, unused, taken + minutes(11)));
+}
+
 // Guards against a late copy of a refused handover, which would give one ticket two successors.
 BOOST_AUTO_TEST_CASE(RefusedHandoverIsNeverTakenLater) {
   TicketTable old_table = MakeTable();
--- a/src/outcomes/tickets.h
+++ b/src/outcomes/tickets.h
@@ -67,15 +67,14 @@
 struct ServedIncarnation {
   RouterIncarnation incarnation;
   TimePoint started_at;
-  // When the last ticket of an incarnation that was taken over has expired.
-  TimePoint forget_at = TimePoint::max();
 };
 
 struct TicketTable {
   TicketPolicy policy;
   std::string shared_key;
   RouterIncarnation self;
-  // This process's own incarnation first, then those taken over.
+  // This process's own incarnation first, then those taken over. None is ever dropped: a late copy
+  // of a handover would otherwise make expired tickets valid again, without their states.
   std::vector<ServedIncarnation> served;
   // Keyed by the random part of the ticket.
   std::unordered_map<std::string, TicketEntry> entries;
@@ -143,7 +142,9 @@
   // was not dispatched is left out, since MarkTicketDispatched refuses it from now on.
   TicketState state = TicketState::kUnknown;
   std::string call_digest;
-  Duration expires_in{0};
+  // Offset from the start of the issuer's incarnation. A remaining time would change with the delay
+  // of the message, and a state that is dropped before its ticket expires allows a second run.
+  std::chrono::milliseconds expires_at{0};
   bool response_kept = false;
   StoredResponse response;
 };
