--- a/src/outcomes/internal/tickets.cc
+++ b/src/outcomes/internal/tickets.cc
@@ -10,8 +10,6 @@
 
 constexpr std::string_view kPrefix = "t1:";
 constexpr std::size_t kMaxRouterLength = 128;
-// Keeps the expiry within the range of the clock.
-constexpr std::uint64_t kMaxExpiryMs = 1'000'000'000'000;
 constexpr Duration kMinFullRetryAfter = std::chrono::seconds(1);
 
 bool IsLowerHex(std::string_view text) {
@@ -65,8 +63,8 @@
   const std::string_view router = text.substr(kPrefix.size());
   const auto expiry = ParseDecimal(*expiry_text);
   const auto incarnation = ParseDecimal(*incarnation_text);
-  if (!expiry || *expiry > kMaxExpiryMs || !incarnation || router.empty() ||
-      router.size() > kMaxRouterLength || random->size() != kTicketRandomLength ||
+  if (!expiry || *expiry > static_cast<std::uint64_t>(kMaxTicketExpiry.count()) || !incarnation ||
+      router.empty() || router.size() > kMaxRouterLength || random->size() != kTicketRandomLength ||
       !IsLowerHex(*random)) {
     return Malformed();
   }
--- a/src/outcomes/tests/tickets_test.cc
+++ b/src/outcomes/tests/tickets_test.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "common/secure_bytes.h"
+#include "outcomes/handover_json.h"
 #include "outcomes/request_attempts.h"
 
 namespace geraniumspread::outcomes {
@@ -278,6 +279,33 @@
   BOOST_TEST(!MayRun(successor, unused, taken + minutes(11)));
 }
 
+// Guards against a handover that changes on the wire, and against a damaged one that is taken.
+// Every prefix is refused; so is every text with one part renamed.
+BOOST_AUTO_TEST_CASE(HandoverWireFormRoundTrips) {
+  TicketTable table = MakeTable();
+  const Ticket finished = Issue(table, 1);
+  Run(table, finished, std::string("bytes \x00\xff", 8));
+  Dispatch(table, Issue(table, 2));
+  const std::string text =
+      HandoverToJson(ExportTickets(table, kRouterB, kStart + seconds(3)).value());
+  const TicketHandover parsed = HandoverFromJson(text).value();
+  BOOST_TEST(HandoverToJson(parsed) == text);
+  BOOST_TEST(parsed.tickets.size() == 2U);
+  BOOST_TEST((parsed.incarnations.at(0).age == seconds(3)));
+  TicketTable successor = MakeTable({}, kRouterB);
+  BOOST_TEST(ImportTickets(successor, parsed, kStart + seconds(3)).has_value());
+  BOOST_TEST(ReplayOf(successor, finished) == std::string("bytes \x00\xff", 8));
+  for (std::size_t length = 0; length < text.size(); ++length) {
+    BOOST_REQUIRE(!HandoverFromJson(text.substr(0, length)).has_value());
+  }
+  for (std::size_t quote = text.find("\":"); quote != std::string::npos;
+       quote = text.find("\":", quote + 1)) {
+    std::string renamed = text;
+    renamed[quote - 1] = '_';
+    BOOST_REQUIRE(!HandoverFromJson(renamed).has_value());
+  }
+}
+
 // Guards against a late copy of a refused handover, which would give one ticket two successors.
 BOOST_AUTO_TEST_CASE(RefusedHandoverIsNeverTakenLater) {
   TicketTable old_table = MakeTable();
--- a/src/outcomes/tickets.h
+++ b/src/outcomes/tickets.h
@@ -16,6 +16,8 @@
 inline constexpr std::size_t kTicketRandomLength = 32;
 inline constexpr std::size_t kTicketMacLength = 32;
 inline constexpr std::size_t kMaxTicketLength = 256;
+// Keeps every expiry within the range of the clock.
+inline constexpr std::chrono::milliseconds kMaxTicketExpiry{1'000'000'000'000};
 
 // Text form: t1:<router>:<incarnation>:<random>:<expiry>:<mac>, where the incarnation is decimal,
 // the random part 32 hexadecimal characters, the expiry decimal milliseconds since the start of the
