--- a/src/outcomes/tests/answer_integrity_test.cc
+++ b/src/outcomes/tests/answer_integrity_test.cc
@@ -54,8 +54,12 @@
 // Guards against events that change with the line ends, comments or unknown fields.
 BOOST_AUTO_TEST_CASE(ParserReadsAllLineEnds) {
   for (const std::string end : {"\n", "\r\n", "\r"}) {
-    const std::string text = ": ping" + end + "id: 7" + end + "event: token" + end + "data: a" +
-                             end + "data:b" + end + end + "data: [DONE]" + end + end;
+    std::string text;
+    for (const char* line :
+         {": ping", "id: 7", "event: token", "data: a", "data:b", "", "data: [DONE]", ""}) {
+      text += line;
+      text += end;
+    }
     const std::vector<SseEvent> events = Parse(text);
     BOOST_REQUIRE(events.size() == 2U);
     BOOST_TEST((events[0].offset == 7U));
--- a/src/outcomes/tests/fault_matrix_test.cc
+++ b/src/outcomes/tests/fault_matrix_test.cc
@@ -69,10 +69,18 @@
 // What the caller sees. Without an answer, its connection ended.
 struct Reply {
   bool answered = false;
-  std::optional<OutcomeError> error{};
-  std::string body{};
+  std::optional<OutcomeError> error;
+  std::string body;
 };
 
+Reply Answer(std::string body) {
+  return {.answered = true, .error = std::nullopt, .body = std::move(body)};
+}
+
+Reply Refuse(const OutcomeError& error) {
+  return {.answered = true, .error = error, .body = ""};
+}
+
 struct World {
   Policies policies;
   Case scenario;
@@ -83,10 +91,10 @@
   int tickets = 0;
   bool caller_left = false;
   std::uint64_t incarnation = 1;
-  TicketTable table{};
+  TicketTable table;
   // Tokens that the caller of a stream has, and the offsets it resumes at.
-  std::string received{};
-  StreamProgress stream{};
+  std::string received;
+  StreamProgress stream;
 };
 
 RequestClass ClassOf(Kind kind) {
@@ -103,13 +111,15 @@
 
 // One attempt at the upstream.
 struct Attempt {
+  Attempt(World& the_world, RequestAttempts& the_request)
+      : world(the_world), request(the_request) {}
   World& world;
   RequestAttempts& request;
   bool faulty = false;
-  Exchange exchange{};
-  ProgressTimer timer{};
-  AnswerCheck check{};
-  std::string body{};
+  Exchange exchange;
+  ProgressTimer timer;
+  AnswerCheck check;
+  std::string body;
   bool router_died = false;
 };
 
@@ -301,7 +311,7 @@
                           .ticket = ticket,
                           .dispatch_refusal = std::nullopt};
   for (;;) {
-    Attempt attempt{.world = world, .request = request};
+    Attempt attempt(world, request);
     RunAttempt(attempt);
     if (attempt.router_died) {
       world.incarnation += 1;
@@ -311,11 +321,10 @@
     const NextStep next = EndAttempt(request, attempt.exchange, world.stream.next_offset);
     if (next == NextStep::kDeliver) {
       StoreAnswer(request, world.table, {.status = 200, .content_type = "", .body = attempt.body});
-      return {.answered = true, .body = attempt.body};
+      return Answer(attempt.body);
     }
     if (next == NextStep::kFail) {
-      return {.answered = true,
-              .error = GiveUp(request, attempt.exchange, world.table, Duration{1})};
+      return Refuse(GiveUp(request, attempt.exchange, world.table, Duration{1}));
     }
   }
 }
@@ -323,14 +332,14 @@
 Reply ServeTicket(World& world, const Ticket& ticket) {
   const KnownRouter known{.known = true, .incarnation = world.incarnation};
   if (RouteTicket(world.table, ticket.issuer, known) == TicketRoute::kGone) {
-    return {.answered = true, .error = MakeOutcomeError(OutcomeCode::kOutcomeUnknown)};
+    return Refuse(MakeOutcomeError(OutcomeCode::kOutcomeUnknown));
   }
   const auto decision = BeginTicket(world.table, ticket, "digest", world.now);
   if (!decision) {
-    return {.answered = true, .error = decision.error()};
+    return Refuse(decision.error());
   }
   if (decision.value().action == TicketAction::kReplay) {
-    return {.answered = true, .body = decision.value().response->body};
+    return Answer(decision.value().response->body);
   }
   return ServeRequest(world, ticket);
 }
@@ -382,7 +391,10 @@
 }
 
 void RunCase(const Policies& policies, const Case& scenario, Counts& counts) {
-  World world{.policies = policies, .scenario = scenario, .counts = &counts};
+  World world;
+  world.policies = policies;
+  world.scenario = scenario;
+  world.counts = &counts;
   world.table = NewTable(world);
   world.stream = MakeStreamProgress(policies.integrity, std::nullopt);
   counts.cases += 1;
