--- a/src/outcomes/tests/answer_integrity_test.cc
+++ b/src/outcomes/tests/answer_integrity_test.cc
@@ -54,8 +54,12 @@
 // Guards against events that change with the line ends, comments or unknown fields.
 BOOST_AUTO_TEST_CASE(ParserReadsAllLineEnds) {
   for (const std::string end : {"\n", "\r\n", "\r"}) {
-    const std::string text = ": ping" + end + "id: 7" + end + "event: token" + end + "data: a" +
-                             end + "data:b" + end + end + "data: [DONE]" + end + end;
+    std::string text;
+    for (const char* line :
+         {": ping", "id: 7", "event: token", "data: a", "data:b", "", "data: [DONE]", ""}) {
+      text += line;
+      text += end;
+    }
     const std::vector<SseEvent> events = Parse(text);
     BOOST_REQUIRE(events.size() == 2U);
     BOOST_TEST((events[0].offset == 7U));
@@ -74,7 +78,7 @@
     std::string text;
     for (std::uint32_t part = random() % 60; part > 0; --part) {
       if (random() % 3 == 0) {
-        AppendSse({.offset = random() % 50, .data = std::string(random() % 30, 'x')}, text);
+        AppendSse({.offset = random() % 50, .data = std::string(random() % 90, 'x')}, text);
       } else {
         text += kAlphabet[random() % kAlphabet.size()];
       }
