--- /dev/null
+++ b/src/standin/rate_limit.h
@@ -0,0 +1,27 @@
+#ifndef STANDIN_RATE_LIMIT_H_
+#define STANDIN_RATE_LIMIT_H_
+
+#include <array>
+#include <cstddef>
+
+#include "common/runtime_clock.h"
+
+namespace geraniumspread::standin {
+
+// Counts calls in the last second, in steps of a tenth of a second.
+struct RateLimit {
+  static constexpr std::size_t kSteps = 10;
+
+  int calls_per_second = 0;
+  std::array<int, kSteps> calls{};
+  TimePoint step_start;
+  std::size_t step = 0;
+};
+
+// Counts a call and returns true, or returns false when the calls of the last
+// second and the `waiting` watches have used up the rate. Refused calls don't count.
+bool TryCall(RateLimit& limit, int waiting, TimePoint now);
+
+}  // namespace geraniumspread::standin
+
+#endif  // STANDIN_RATE_LIMIT_H_
