--- a/src/standin/engine_types.h
+++ b/src/standin/engine_types.h
@@ -36,6 +36,7 @@
   double cache_event_loss = 0.02;  // share of cache events that are never published
   Duration order_time = std::chrono::milliseconds(500);
   bool ignores_fencing = false;
+  bool starts_warm = false;     // only the first incarnation
   bool crash_on_marker = true;  // a prompt that contains kCrashMarker crashes the engine
   std::uint64_t seed = 1;
 };
--- /dev/null
+++ b/src/standin/internal/listener.h
@@ -0,0 +1,56 @@
+#ifndef STANDIN_INTERNAL_LISTENER_H_
+#define STANDIN_INTERNAL_LISTENER_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "standin/internal/http_util.h"
+#include "transport/http_server.h"
+
+namespace geraniumspread::standin::detail {
+
+// The connections that were accepted between two faults of a listener.
+struct ConnectionGroup {
+  std::unique_ptr<transport::HttpServer> server;
+  bool silent = false;
+};
+
+// A listening address whose connections can be made to fail.
+class Listener {
+ public:
+  using Handler = std::function<boost::asio::awaitable<void>(transport::HttpRequest request,
+                                                             transport::HttpResponder& responder)>;
+
+  Listener(boost::asio::any_io_executor io_executor,
+           transport::Endpoint listen_endpoint,
+           Handler request_handler);
+
+  // Accepts connections. Returns the reason when the port can't be opened.
+  std::optional<std::string> Open();
+  // Closes the port and all connections.
+  void Close();
+  // Open connections never answer again; new connections work.
+  void Silence();
+  // Refuses new connections; open connections end after their answers.
+  void Refuse();
+  bool IsOpen() const { return this->current != nullptr; }
+
+ private:
+  boost::asio::awaitable<void> Dispatch(std::shared_ptr<ConnectionGroup> group,
+                                        transport::HttpRequest request,
+                                        transport::HttpResponder& responder);
+
+  boost::asio::any_io_executor executor;
+  transport::Endpoint endpoint;
+  Handler handler;
+  std::shared_ptr<ConnectionGroup> current;
+  std::vector<std::shared_ptr<ConnectionGroup>> former;
+};
+
+}  // namespace geraniumspread::standin::detail
+
+#endif  // STANDIN_INTERNAL_LISTENER_H_
