--- /dev/null
+++ b/src/engines/internal/json_fields.h
@@ -0,0 +1,49 @@
+#ifndef ENGINES_INTERNAL_JSON_FIELDS_H_
+#define ENGINES_INTERNAL_JSON_FIELDS_H_
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "engines/engines_types.h"
+
+namespace geraniumspread::engines::detail {
+
+inline constexpr std::size_t kMaxTextBytes = 256;
+
+// Parses `body` into an object. Errors: kTooLarge, kMalformed.
+Result<boost::json::object> ParseObject(std::string_view body, std::size_t limit);
+
+// Reads fields of one object and keeps the first error.
+class FieldReader {
+ public:
+  explicit FieldReader(const boost::json::object& fields) : object(fields) {}
+
+  std::uint64_t RequiredUnsigned(std::string_view key);
+  template <typename Number>
+  Number Unsigned(std::string_view key, Number missing) {
+    return static_cast<Number>(
+        this->UnsignedUpTo(key, missing, std::numeric_limits<Number>::max()));
+  }
+  std::string RequiredText(std::string_view key);
+  std::string Text(std::string_view key);
+  bool Flag(std::string_view key, bool missing);
+  // A finite number from 0 on.
+  double Number(std::string_view key, double missing);
+  void Fail(std::string_view key, std::string_view reason);
+
+  std::optional<EnginesError> error;
+
+ private:
+  std::uint64_t UnsignedUpTo(std::string_view key, std::uint64_t missing, std::uint64_t max);
+
+  const boost::json::object& object;
+};
+
+}  // namespace geraniumspread::engines::detail
+
+#endif  // ENGINES_INTERNAL_JSON_FIELDS_H_
--- /dev/null
+++ b/src/engines/internal/orders.cc
@@ -0,0 +1,221 @@
+#include "engines/orders.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "common/hash.h"
+
+namespace geraniumspread::engines {
+namespace {
+
+// Engines of a pool in an order that is the same on every router.
+std::vector<std::string> RankedEngines(const PoolSpec& pool, const std::vector<LiveEngine>& live) {
+  std::vector<std::string> ids;
+  for (const LiveEngine& engine : live) {
+    if (engine.pool == pool.pool) {
+      ids.push_back(engine.id);
+    }
+  }
+  const std::uint64_t key = StableHash(pool.pool);
+  std::ranges::sort(ids, [&](const std::string& left, const std::string& right) {
+    const auto left_score = MixHash(key, StableHash(left));
+    const auto right_score = MixHash(key, StableHash(right));
+    return left_score != right_score ? left_score > right_score : left < right;
+  });
+  const auto duplicates = std::ranges::unique(ids);
+  ids.erase(duplicates.begin(), duplicates.end());
+  return ids;
+}
+
+// Number of engines up to the end of each role, in the order of the roles.
+std::vector<std::size_t> RoleEnds(const std::vector<RoleShare>& roles, std::size_t engines) {
+  double total = 0;
+  for (const RoleShare& role : roles) {
+    total += std::max(role.weight, 0.0);
+  }
+  std::vector<std::size_t> ends;
+  double sum = 0;
+  for (const RoleShare& role : roles) {
+    sum += std::max(role.weight, 0.0);
+    const double share = total > 0 ? sum / total : 1;
+    ends.push_back(static_cast<std::size_t>(std::llround(share * static_cast<double>(engines))));
+  }
+  return ends;
+}
+
+std::string RoleAt(const PoolSpec& pool, const std::vector<std::size_t>& ends, std::size_t place) {
+  for (std::size_t role = 0; role < ends.size(); ++role) {
+    if (place < ends[role]) {
+      return pool.roles[role].role;
+    }
+  }
+  return {};
+}
+
+bool NeedsWeights(const EngineState& current, const EngineState& desired) {
+  return current.model != desired.model || current.adapter != desired.adapter ||
+         current.version != desired.version;
+}
+
+// The largest recent fleet counts, so a partition doesn't raise the shares.
+void UpdateFleetSize(Orders& orders, std::uint32_t router_count, TimePoint now) {
+  const bool held = now - orders.fleet_size_seen < orders.settings.fleet_shrink_hold;
+  if (router_count >= orders.fleet_size || !held) {
+    orders.fleet_size = std::max(router_count, 1U);
+    orders.fleet_size_seen = now;
+  }
+}
+
+void RefillWeightTokens(Orders& orders, TimePoint now) {
+  if (orders.refilled_at) {
+    const double elapsed = std::chrono::duration<double>(now - *orders.refilled_at).count();
+    const double rate =
+        orders.settings.weight_loads_per_second / static_cast<double>(orders.fleet_size);
+    orders.weight_tokens = std::min(1.0, orders.weight_tokens + std::max(elapsed, 0.0) * rate);
+  }
+  orders.refilled_at = now;
+}
+
+// True while an earlier order of the same content may still take effect.
+bool IsUnderway(const Orders& orders,
+                const OrderProgress& progress,
+                const EngineView& engine,
+                TimePoint now) {
+  if (!progress.last || progress.last->state != engine.desired.state) {
+    return false;
+  }
+  if (progress.waiting_for_answer) {
+    return now - progress.sent_at < orders.settings.answer_timeout;
+  }
+  if (!progress.accepted_at) {
+    return false;
+  }
+  // Only a report that was asked for after the settle time counts as read-back.
+  return engine.load->report_asked_at - *progress.accepted_at < orders.settings.settle_time;
+}
+
+bool MayOrder(const Orders& orders, const EngineView& engine, TimePoint now) {
+  return engine.lease.held && engine.load != nullptr &&
+         HasFreshReport(*engine.load, orders.settings.report_hold, now) &&
+         now + orders.settings.lease_margin < engine.lease.expires_at;
+}
+
+std::optional<Fence> UsableFence(Orders& orders,
+                                 const OrderProgress& progress,
+                                 std::uint64_t config_version,
+                                 const EngineView& engine) {
+  const auto fence = MakeFence(config_version, engine.lease.sequence);
+  if (!fence) {
+    ++orders.fence_overflows;
+    return std::nullopt;
+  }
+  // An engine that refused this token has obeyed somebody newer.
+  if (progress.refused && fence.value() <= *progress.refused) {
+    return std::nullopt;
+  }
+  return fence.value();
+}
+
+std::optional<OrderCommand> OrderFor(Orders& orders,
+                                     const OrderInputs& inputs,
+                                     const EngineView& engine,
+                                     TimePoint now) {
+  if (!MayOrder(orders, engine, now) || engine.load->report->state == engine.desired.state) {
+    return std::nullopt;
+  }
+  OrderProgress& progress = orders.engines[engine.desired.id];
+  if (IsUnderway(orders, progress, engine, now)) {
+    return std::nullopt;
+  }
+  const auto fence = UsableFence(orders, progress, inputs.config_version, engine);
+  if (!fence) {
+    return std::nullopt;
+  }
+  if (NeedsWeights(engine.load->report->state, engine.desired.state)) {
+    if (orders.weight_tokens < 1) {
+      return std::nullopt;
+    }
+    orders.weight_tokens -= 1;
+  }
+  progress.corrections += progress.accepted_at ? 1 : 0;
+  OrderCommand command{engine.desired.id, *fence, engine.desired.state, inputs.config_version,
+                       engine.lease.expires_at - orders.settings.lease_margin};
+  progress.last = command;
+  progress.sent_at = now;
+  progress.accepted_at.reset();
+  progress.waiting_for_answer = true;
+  return command;
+}
+
+}  // namespace
+
+Result<Fence> MakeFence(std::uint64_t config_version, std::uint64_t lease_sequence) {
+  if (config_version >> kFenceVersionBits != 0 || lease_sequence >> kFenceLeaseBits != 0) {
+    return EnginesError{EnginesErrorCode::kFenceOverflow,
+                        "configuration version " + std::to_string(config_version) +
+                            " or lease sequence " + std::to_string(lease_sequence) +
+                            " doesn't fit the fencing token"};
+  }
+  return Fence{config_version << kFenceLeaseBits | lease_sequence};
+}
+
+std::vector<DesiredEngine> DesiredStates(const std::vector<PoolSpec>& pools,
+                                         const std::vector<LiveEngine>& live) {
+  std::vector<DesiredEngine> desired;
+  for (const PoolSpec& pool : pools) {
+    const auto ids = RankedEngines(pool, live);
+    const auto ends = RoleEnds(pool.roles, ids.size());
+    for (std::size_t place = 0; place < ids.size(); ++place) {
+      desired.push_back(
+          {ids[place], {pool.model, pool.adapter, pool.version, RoleAt(pool, ends, place)}});
+    }
+  }
+  std::ranges::sort(desired, {}, &DesiredEngine::id);
+  return desired;
+}
+
+std::vector<OrderCommand> TickOrders(Orders& orders, const OrderInputs& inputs, TimePoint now) {
+  UpdateFleetSize(orders, inputs.router_count, now);
+  RefillWeightTokens(orders, now);
+  std::vector<OrderCommand> commands;
+  if (inputs.config_version == 0 || inputs.config_version < inputs.highest_known_version) {
+    return commands;
+  }
+  for (const EngineView& engine : inputs.engines) {
+    if (auto command = OrderFor(orders, inputs, engine, now)) {
+      commands.push_back(std::move(*command));
+    }
+  }
+  return commands;
+}
+
+bool MayStillSend(const OrderCommand& command, std::uint64_t highest_known_version, TimePoint now) {
+  return now < command.send_before && highest_known_version <= command.config_version;
+}
+
+void HandleOrderAnswer(Orders& orders,
+                       const OrderCommand& command,
+                       OrderAnswer answer,
+                       TimePoint now) {
+  const auto found = orders.engines.find(command.engine);
+  if (found == orders.engines.end() || !found->second.last ||
+      found->second.last->fence != command.fence || found->second.last->state != command.state) {
+    return;
+  }
+  OrderProgress& progress = found->second;
+  switch (answer) {
+    case OrderAnswer::kAccepted:
+      progress.waiting_for_answer = false;
+      progress.accepted_at = now;
+      break;
+    case OrderAnswer::kOldFence:
+      progress.waiting_for_answer = false;
+      progress.refused = command.fence;
+      break;
+    case OrderAnswer::kLost:
+      break;  // sent again after `answer_timeout`
+  }
+}
+
+}  // namespace geraniumspread::engines
--- a/src/engines/orders.h
+++ b/src/engines/orders.h
@@ -68,6 +68,8 @@
   Duration answer_timeout = std::chrono::seconds(5);
   // How long an engine may take to show an accepted order in its reports.
   Duration settle_time = std::chrono::seconds(60);
+  // Orders need a report that was asked for within this.
+  Duration report_hold = std::chrono::seconds(5);
   // No order is sent when the lease ends within this.
   Duration lease_margin = std::chrono::milliseconds(250);
   // Loads of weights a second that the weight store allows over all routers.
@@ -138,7 +140,7 @@
 };
 
 // Orders to send now. Nothing is ordered without an unexpired lease, from a
-// configuration older than the highest known one, or without a report.
+// configuration older than the highest known one, or without a fresh report.
 std::vector<OrderCommand> TickOrders(Orders& orders, const OrderInputs& inputs, TimePoint now);
 
 // False when the lease has ended or a newer configuration is known meanwhile.
