Read optional reports without unchecked access

Cause: the linter found optional values read without a check in the same function. Conclusion: orders take the state to correct from one checked place; orders_test and reports_test pass.

--- a/src/engines/internal/orders.cc
+++ b/src/engines/internal/orders.cc
@@ -95,10 +95,18 @@
   return engine.load->report_asked_at - *progress.accepted_at < orders.settings.settle_time;
 }
 
-bool MayOrder(const Orders& orders, const EngineView& engine, TimePoint now) {
-  return engine.lease.held && engine.load != nullptr &&
-         HasFreshReport(*engine.load, orders.settings.report_hold, now) &&
-         now + orders.settings.lease_margin < engine.lease.expires_at;
+// The state that an order may be based on; nothing when no order may be sent.
+std::optional<EngineState> StateToCorrect(const Orders& orders,
+                                          const EngineView& engine,
+                                          TimePoint now) {
+  const bool leased =
+      engine.lease.held && now + orders.settings.lease_margin < engine.lease.expires_at;
+  if (!leased || engine.load == nullptr ||
+      !HasFreshReport(*engine.load, orders.settings.report_hold, now)) {
+    return std::nullopt;
+  }
+  const auto& report = engine.load->report;
+  return report ? std::optional(report->state) : std::nullopt;
 }
 
 std::optional<Fence> UsableFence(Orders& orders,
@@ -121,7 +129,8 @@
                                      const OrderInputs& inputs,
                                      const EngineView& engine,
                                      TimePoint now) {
-  if (!MayOrder(orders, engine, now) || engine.load->report->state == engine.desired.state) {
+  const auto current = StateToCorrect(orders, engine, now);
+  if (!current || *current == engine.desired.state) {
     return std::nullopt;
   }
   OrderProgress& progress = orders.engines[engine.desired.id];
@@ -132,7 +141,7 @@
   if (!fence) {
     return std::nullopt;
   }
-  if (NeedsWeights(engine.load->report->state, engine.desired.state)) {
+  if (NeedsWeights(*current, engine.desired.state)) {
     if (orders.weight_tokens < 1) {
       return std::nullopt;
     }
@@ -199,8 +208,11 @@
                        OrderAnswer answer,
                        TimePoint now) {
   const auto found = orders.engines.find(command.engine);
-  if (found == orders.engines.end() || !found->second.last ||
-      found->second.last->fence != command.fence || found->second.last->state != command.state) {
+  if (found == orders.engines.end()) {
+    return;
+  }
+  const auto& last = found->second.last;
+  if (!last || last->fence != command.fence || last->state != command.state) {
     return;
   }
   OrderProgress& progress = found->second;
--- a/src/engines/tests/orders_test.cc
+++ b/src/engines/tests/orders_test.cc
@@ -50,6 +50,7 @@
   const std::vector<PoolSpec> pools = {{"p1", "m1", "a", "v1", {{"prefill", 1}, {"decode", 2}}},
                                        {"p2", "m2", "", "v2", {}}};
   std::vector<LiveEngine> live;
+  live.reserve(12);
   for (int engine = 0; engine < 12; ++engine) {
     live.push_back({"e" + std::to_string(engine), engine < 9 ? "p1" : (engine < 11 ? "p2" : "p9")});
   }
