Close gaps in the config tests

Three mechanisms could be switched off without a failing test: the size check of a shard, the UTF-8 check of cells that no other rule covers, and the order by hash before shards are split.

--- a/src/config/tests/compile_test.cc
+++ b/src/config/tests/compile_test.cc
@@ -74,6 +74,12 @@
     return !before.contains(shard.digest);
   };
   BOOST_TEST(std::ranges::count_if(after.shards, is_new) == 1);
+  Workspace added = configuration.workspaces.front();
+  added.name = "a-new-customer";
+  configuration.workspaces.insert(configuration.workspaces.begin(), added);
+  configuration.workspaces[778].concurrency_limit = 24;
+  // The shard with the new workspace, or its two halves when it had to be split.
+  BOOST_TEST(std::ranges::count_if(CompileOrThrow(configuration).shards, is_new) <= 2);
 }
 
 // Guards against routers that read the same bytes differently: whatever isn't the
@@ -105,6 +111,11 @@
   const std::vector<std::string_view> cut_parts = {cut};
   BOOST_TEST(
       (AssembleConfiguration(manifest, cut_parts).error().code == ConfigErrorCode::kPartMismatch));
+  manifest.shards[0].bytes += 1;
+  const std::vector<std::string_view> whole = {compiled.shards[0].bytes};
+  BOOST_TEST(
+      (AssembleConfiguration(manifest, whole).error().code == ConfigErrorCode::kPartMismatch));
+  manifest.shards[0].bytes -= 1;
   const std::string first = SerializeShard(std::span(configuration.workspaces).first(1));
   manifest.shards.push_back({Sha256Hex(first), first.size(), 1});
   const std::vector<std::string_view> twice = {compiled.shards[0].bytes, first};
--- a/src/config/tests/sheet_test.cc
+++ b/src/config/tests/sheet_test.cc
@@ -134,6 +134,7 @@
                          "f\xe9"
                          "e"),
                 {"5 name error"});
+  RequirePlaces(Replaced(kSheet, ",45s,", ",45s,caf\xe9"), {"6 cell 18 error"});
   RequirePlaces(Replaced(kSheet, "foundry", "\"foundry"), {"5 name error"});
   RequirePlaces(Replaced(kSheet, "foundry", "fo\"undry"), {"5 name error"});
   RequirePlaces(Replaced(kSheet, "foundry", std::string(9'000, 'a')), {"5 name error"});
