--- a/apps/geranium_bench/baselines.cc
+++ b/apps/geranium_bench/baselines.cc
@@ -1,6 +1,8 @@
 #include "baselines.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 #include "common/hash.h"
 
@@ -13,17 +15,22 @@
   return fleet.of_pool[request.pool];
 }
 
-// Drives the placement module. Load is exact, since each owner knows its own;
-// each entry router has an exceptions table of its own.
+// Drives the placement module. Load is exact, since each owner knows its own.
+// Each entry router has an exceptions table of its own; or, where the owner of a
+// chat's first choice knows its exception too, every router finds it, and one
+// table stands for those of all owners.
 class PlacementChooser final : public Chooser {
  public:
-  PlacementChooser(const FleetSpec& spec, placement::NewChatHome home) {
+  PlacementChooser(const FleetSpec& spec, placement::NewChatHome home, bool owners_know)
+      : table_count(owners_know ? 1 : spec.routers) {
     placement::PlacementSettings settings;
     settings.new_chat_home = home;
-    settings.exception_entries = kEntriesPerRouter;
+    const auto entries =
+        static_cast<std::uint32_t>(kEntriesPerRouter * spec.routers / this->table_count);
+    settings.exception_entries = entries;
     this->state = MakeWarmPlacement(spec, settings, TimePoint{});
-    this->tables.resize(static_cast<std::size_t>(spec.routers),
-                        placement::MakeExceptionsTable(kEntriesPerRouter, TimePoint{}));
+    this->tables.resize(static_cast<std::size_t>(this->table_count),
+                        placement::MakeExceptionsTable(entries, TimePoint{}));
     this->domains = spec.domains;
   }
 
@@ -36,12 +43,13 @@
     wanted.has_history = request.turn > 0;
     wanted.entry_domain = static_cast<placement::DomainIndex>(request.router % this->domains);
     wanted.priority = request.priority;
-    std::swap(this->state.exceptions, this->tables[request.router]);
+    auto& table = this->tables[static_cast<std::size_t>(request.router % this->table_count)];
+    std::swap(this->state.exceptions, table);
     const auto choice = placement::ChooseUpstream(this->state, wanted, now);
     if (choice) {
       placement::NotePlaced(this->state, wanted, choice.value(), now);
     }
-    std::swap(this->state.exceptions, this->tables[request.router]);
+    std::swap(this->state.exceptions, table);
     return choice ? choice.value().upstream : kNoRunner;
   }
 
@@ -76,7 +84,8 @@
   }
 
  private:
-  static constexpr std::uint32_t kEntriesPerRouter = 16384;
+  static constexpr int kEntriesPerRouter = 16384;
+  int table_count;
   PlacementState state;
   std::vector<placement::ExceptionsTable> tables;
   int domains = 1;
@@ -131,15 +140,21 @@
 };
 
 // Sends a chat to where it is cached, however loaded. Other chats go to the
-// cache with the most room, or to the one whose oldest chat was used longest ago.
+// cache with the most room, or to the one whose oldest chat was used longest ago;
+// within a load bound, to the runner with the least load.
 class BestChooser final : public Chooser {
  public:
+  explicit BestChooser(bool bounded) : keeps_bound(bounded) {}
+
   std::uint32_t Choose(const ModelFleet& fleet,
                        const ChatRequest& request,
                        TimePoint now) override {
+    const std::int32_t bound =
+        this->keeps_bound ? Bound(fleet, request) : std::numeric_limits<std::int32_t>::max();
     const auto known = this->places.find(request.chat);
     const bool cached = known != this->places.end() && fleet.runners[known->second].usable &&
-                        Holds(fleet.runners[known->second].cache, request.chat);
+                        Holds(fleet.runners[known->second].cache, request.chat) &&
+                        fleet.runners[known->second].in_flight < bound;
     const std::uint32_t runner = cached ? known->second : this->Roomiest(fleet, request);
     this->places[request.chat] = runner;
     this->used[request.chat] = now;
@@ -156,14 +171,33 @@
     return this->used.at(runner.cache.order.back());
   }
 
+  // The load bound over warm and cold runners alike.
+  static std::int32_t Bound(const ModelFleet& fleet, const ChatRequest& request) {
+    const auto& pool = PoolOf(fleet, request);
+    std::int64_t sum = 1;
+    for (const std::uint32_t runner : pool) {
+      sum += fleet.runners[runner].in_flight;
+    }
+    const double mean = static_cast<double>(sum) / static_cast<double>(pool.size());
+    const double bound = std::ceil(placement::PlacementSettings{}.bound_multiple * mean);
+    return std::max(1, static_cast<std::int32_t>(bound));
+  }
+
+  // With a bound, chats that are cached nowhere even out the load.
   std::uint32_t Roomiest(const ModelFleet& fleet, const ChatRequest& request) const {
     const auto& pool = PoolOf(fleet, request);
-    return *std::min_element(
-        pool.begin(), pool.end(), [&](std::uint32_t left, std::uint32_t right) {
-          return this->OldestUse(fleet.runners[left]) < this->OldestUse(fleet.runners[right]);
-        });
+    return *std::min_element(pool.begin(), pool.end(),
+                             [&](std::uint32_t left, std::uint32_t right) {
+                               const ModelRunner& first = fleet.runners[left];
+                               const ModelRunner& second = fleet.runners[right];
+                               if (this->keeps_bound && first.in_flight != second.in_flight) {
+                                 return first.in_flight < second.in_flight;
+                               }
+                               return this->OldestUse(first) < this->OldestUse(second);
+                             });
   }
 
+  bool keeps_bound;
   std::unordered_map<std::uint32_t, std::uint32_t> places;
   std::unordered_map<std::uint32_t, TimePoint> used;
 };
@@ -176,12 +210,16 @@
       return "placement";
     case ChooserKind::kPlacementChatHash:
       return "placement, new chats by hash";
+    case ChooserKind::kPlacementEntryOnly:
+      return "placement, exceptions at entry only";
     case ChooserKind::kRoundRobin:
       return "round robin";
     case ChooserKind::kLeastOutstanding:
       return "least outstanding";
     case ChooserKind::kRendezvous:
       return "plain rendezvous";
+    case ChooserKind::kBestInBound:
+      return "best within the bound";
     case ChooserKind::kBest:
       return "best possible";
   }
@@ -191,17 +229,21 @@
 std::unique_ptr<Chooser> MakeChooser(ChooserKind kind, const FleetSpec& spec) {
   switch (kind) {
     case ChooserKind::kPlacement:
-      return std::make_unique<PlacementChooser>(spec, placement::NewChatHome::kEntryDomain);
+      return std::make_unique<PlacementChooser>(spec, placement::NewChatHome::kEntryDomain, true);
     case ChooserKind::kPlacementChatHash:
-      return std::make_unique<PlacementChooser>(spec, placement::NewChatHome::kChatHash);
+      return std::make_unique<PlacementChooser>(spec, placement::NewChatHome::kChatHash, true);
+    case ChooserKind::kPlacementEntryOnly:
+      return std::make_unique<PlacementChooser>(spec, placement::NewChatHome::kEntryDomain, false);
     case ChooserKind::kRoundRobin:
       return std::make_unique<RoundRobinChooser>(spec);
     case ChooserKind::kLeastOutstanding:
       return std::make_unique<LeastOutstandingChooser>();
     case ChooserKind::kRendezvous:
       return std::make_unique<RendezvousChooser>();
+    case ChooserKind::kBestInBound:
+      return std::make_unique<BestChooser>(true);
     case ChooserKind::kBest:
-      return std::make_unique<BestChooser>();
+      return std::make_unique<BestChooser>(false);
   }
   return nullptr;
 }
--- a/apps/geranium_bench/baselines.h
+++ b/apps/geranium_bench/baselines.h
@@ -35,16 +35,20 @@
 };
 
 enum class ChooserKind : std::uint8_t {
-  kPlacement,          // this project, as configured by default
-  kPlacementChatHash,  // this project, new chats at the domain of their hash
+  kPlacement,           // this project, exceptions also at the owner of the first choice
+  kPlacementChatHash,   // the same, new chats at the domain of their hash
+  kPlacementEntryOnly,  // this project, exceptions only at the entry router
   kRoundRobin,
   kLeastOutstanding,
-  kRendezvous,  // plain rendezvous hashing on the chat
-  kBest,        // knows every cache, has no load limits: the best reuse possible
+  kRendezvous,   // plain rendezvous hashing on the chat
+  kBestInBound,  // knows every cache, keeps the load bound
+  kBest,         // knows every cache, has no load limits: the best reuse possible
 };
 inline constexpr ChooserKind kAllChoosers[] = {
-    ChooserKind::kPlacement,        ChooserKind::kPlacementChatHash, ChooserKind::kRoundRobin,
-    ChooserKind::kLeastOutstanding, ChooserKind::kRendezvous,        ChooserKind::kBest};
+    ChooserKind::kPlacement,          ChooserKind::kPlacementChatHash,
+    ChooserKind::kPlacementEntryOnly, ChooserKind::kRoundRobin,
+    ChooserKind::kLeastOutstanding,   ChooserKind::kRendezvous,
+    ChooserKind::kBestInBound,        ChooserKind::kBest};
 
 std::string NameOf(ChooserKind kind);
 std::unique_ptr<Chooser> MakeChooser(ChooserKind kind, const FleetSpec& spec);
--- a/src/placement/internal/choice.cc
+++ b/src/placement/internal/choice.cc
@@ -5,7 +5,6 @@
 #include <cmath>
 #include <limits>
 
-#include "common/hash.h"
 #include "placement/internal/segments.h"
 
 namespace geraniumspread::placement {
@@ -38,7 +37,7 @@
   std::uint64_t best = 0;
   std::uint32_t best_position = segment.end;
   for (std::uint32_t position = segment.begin; position < segment.end; ++position) {
-    const std::uint64_t hash = MixHash(static_cast<std::uint64_t>(chat), pool.hashes[position]);
+    const std::uint64_t hash = detail::RendezvousHash(chat, pool.hashes[position]);
     if (hash < limit && hash > best) {
       best = hash;
       best_position = position;
@@ -102,17 +101,15 @@
                    const PlacementRequest& request,
                    Scope scope,
                    DomainIndex home,
-                   TimePoint now) {
+                   const detail::LoadCheck& check) {
   const PoolRow& pool = state.pools[request.pool];
-  const bool spill = scope == Scope::kOthersOnly;
   for (;;) {
     const std::size_t best = Best(candidates, scope, home);
     if (best == kNone) {
       return kNoUpstream;
     }
     Cursor& cursor = candidates.cursors[best];
-    const Verdict verdict = detail::CheckLoad(state, cursor.upstream, request.priority, spill, now);
-    if (verdict == Verdict::kAvailable) {
+    if (detail::CheckLoad(state, cursor.upstream, check) == Verdict::kAvailable) {
       return cursor.upstream;
     }
     Advance(cursor, pool, *candidates.segments[best], request.chat, cursor.hash);
@@ -122,17 +119,16 @@
 // The upstream that the exceptions table names, when the chat may be placed there now.
 UpstreamIndex UsableException(const PlacementState& state,
                               const PlacementRequest& request,
-                              TimePoint now) {
+                              const detail::LoadCheck& check) {
   const UpstreamIndex upstream =
-      FindException(state.exceptions, request.chat, state.settings.exception_hold, now);
+      FindException(state.exceptions, request.chat, state.settings.exception_hold, check.now);
   if (upstream == kNoUpstream) {
     return kNoUpstream;
   }
   const UpstreamRow& row = state.upstreams[upstream];
-  const bool usable =
-      AcceptsNewWork(state, upstream) && row.pool == request.pool &&
-      detail::ChatMayUse(state, row.domain, request.chat, now) &&
-      detail::CheckLoad(state, upstream, request.priority, false, now) == Verdict::kAvailable;
+  const bool usable = AcceptsNewWork(state, upstream) && row.pool == request.pool &&
+                      detail::ChatMayUse(state, row.domain, request.chat, check.now) &&
+                      detail::CheckLoad(state, upstream, check) == Verdict::kAvailable;
   return usable ? upstream : kNoUpstream;
 }
 
@@ -148,11 +144,45 @@
           .cold_epoch = state.cold_start[upstream].epoch};
 }
 
+Result<PlacementChoice> ChooseWithin(const PlacementState& state,
+                                     const PlacementRequest& request,
+                                     double multiple,
+                                     TimePoint now) {
+  Candidates candidates;
+  CollectCandidates(candidates, state, state.pools[request.pool], request.chat, now);
+  const std::size_t top = Best(candidates, Scope::kAll, kNoDomain);
+  if (top == kNone) {
+    return PlacementError{PlacementErrorCode::kNoUsableUpstream,
+                          "no upstream of the pool is listed and in service"};
+  }
+  const UpstreamIndex first_choice = candidates.cursors[top].upstream;
+  const DomainIndex home = HomeDomain(state, candidates, request);
+  const UpstreamIndex best_at_home =
+      candidates.cursors[Best(candidates, Scope::kHomeOnly, home)].upstream;
+  detail::LoadCheck check{.priority = request.priority, .multiple = multiple, .now = now};
+  if (const UpstreamIndex named = UsableException(state, request, check); named != kNoUpstream) {
+    return MakeChoice(state, named, first_choice, home, ChoiceKind::kException);
+  }
+  if (const UpstreamIndex local = Walk(candidates, state, request, Scope::kHomeOnly, home, check);
+      local != kNoUpstream) {
+    const ChoiceKind kind =
+        local == best_at_home ? ChoiceKind::kFirstChoice : ChoiceKind::kHomeOverflow;
+    return MakeChoice(state, local, first_choice, home, kind);
+  }
+  check.spill = true;
+  if (const UpstreamIndex remote =
+          Walk(candidates, state, request, Scope::kOthersOnly, home, check);
+      remote != kNoUpstream) {
+    return MakeChoice(state, remote, first_choice, home, ChoiceKind::kSpill);
+  }
+  return PlacementError{PlacementErrorCode::kAllAtLimit, "all upstreams of the pool are at limit"};
+}
+
 }  // namespace
 
 namespace detail {
 
-EffectiveLimit LimitOf(const PlacementState& state, UpstreamIndex upstream) {
+EffectiveLimit LimitOf(const PlacementState& state, UpstreamIndex upstream, double multiple) {
   const UpstreamRow& row = state.upstreams[upstream];
   const ColdStartState& cold_start = state.cold_start[upstream];
   const bool knows_cold_start = row.owned && row.kind == UpstreamKind::kModelEngine;
@@ -166,28 +196,29 @@
   const std::int64_t elsewhere = std::max(pool.in_flight_elsewhere, pool.in_flight_not_owned);
   const auto total = static_cast<double>(pool.in_flight + elsewhere + 1);
   const double mean = total * row.capacity / std::max(pool.capacity, 1.0);
-  const double bound = std::max(1.0, std::ceil(state.settings.bound_multiple * mean));
+  const double bound = std::max(1.0, std::ceil(multiple * mean));
   return {static_cast<std::int32_t>(std::min<double>(row.capacity, bound)), false};
 }
 
-Verdict CheckLoad(const PlacementState& state,
-                  UpstreamIndex upstream,
-                  PriorityClass priority,
-                  bool spill,
-                  TimePoint now) {
+Verdict CheckLoad(const PlacementState& state, UpstreamIndex upstream, const LoadCheck& check) {
   const UpstreamRow& row = state.upstreams[upstream];
-  if (row.refused_until > now) {
+  if (row.refused_until > check.now) {
     return Verdict::kRefused;
   }
-  const EffectiveLimit effective = LimitOf(state, upstream);
+  const EffectiveLimit effective = LimitOf(state, upstream, check.multiple);
   if (row.in_flight >= effective.limit) {
     return effective.cold ? Verdict::kAtColdLimit : Verdict::kAtLimit;
   }
-  const double share = state.settings.spill_share[static_cast<std::size_t>(priority)];
-  const bool too_busy = spill && row.in_flight >= share * effective.limit;
+  const double share = state.settings.spill_share[static_cast<std::size_t>(check.priority)];
+  const bool too_busy = check.spill && row.in_flight >= share * effective.limit;
   return too_busy ? Verdict::kSpillRefused : Verdict::kAvailable;
 }
 
+double MultipleFor(const PlacementState& state, bool has_history) {
+  return has_history ? state.settings.bound_multiple
+                     : std::min(state.settings.bound_multiple, state.settings.new_chat_multiple);
+}
+
 }  // namespace detail
 
 Result<PlacementChoice> ChooseUpstream(const PlacementState& state,
@@ -196,31 +227,13 @@
   if (request.pool >= state.pools.size()) {
     return PlacementError{PlacementErrorCode::kUnknownPool, "the pool is unknown"};
   }
-  Candidates candidates;
-  CollectCandidates(candidates, state, state.pools[request.pool], request.chat, now);
-  const std::size_t top = Best(candidates, Scope::kAll, kNoDomain);
-  if (top == kNone) {
-    return PlacementError{PlacementErrorCode::kNoUsableUpstream,
-                          "no upstream of the pool is listed and in service"};
-  }
-  const UpstreamIndex first_choice = candidates.cursors[top].upstream;
-  const DomainIndex home = HomeDomain(state, candidates, request);
-  if (const UpstreamIndex named = UsableException(state, request, now); named != kNoUpstream) {
-    return MakeChoice(state, named, first_choice, home, ChoiceKind::kException);
-  }
-  const UpstreamIndex best_at_home =
-      candidates.cursors[Best(candidates, Scope::kHomeOnly, home)].upstream;
-  if (const UpstreamIndex local = Walk(candidates, state, request, Scope::kHomeOnly, home, now);
-      local != kNoUpstream) {
-    const ChoiceKind kind =
-        local == best_at_home ? ChoiceKind::kFirstChoice : ChoiceKind::kHomeOverflow;
-    return MakeChoice(state, local, first_choice, home, kind);
-  }
-  if (const UpstreamIndex remote = Walk(candidates, state, request, Scope::kOthersOnly, home, now);
-      remote != kNoUpstream) {
-    return MakeChoice(state, remote, first_choice, home, ChoiceKind::kSpill);
-  }
-  return PlacementError{PlacementErrorCode::kAllAtLimit, "all upstreams of the pool are at limit"};
+  const double multiple = detail::MultipleFor(state, request.has_history);
+  const auto choice = ChooseWithin(state, request, multiple, now);
+  const bool all_at_lower_bound = !choice &&
+                                  choice.error().code == PlacementErrorCode::kAllAtLimit &&
+                                  multiple < state.settings.bound_multiple;
+  return all_at_lower_bound ? ChooseWithin(state, request, state.settings.bound_multiple, now)
+                            : choice;
 }
 
 }  // namespace geraniumspread::placement
--- a/src/placement/internal/choice.h
+++ b/src/placement/internal/choice.h
@@ -10,15 +10,20 @@
   std::int32_t limit = 0;
   bool cold = false;
 };
-EffectiveLimit LimitOf(const PlacementState& state, UpstreamIndex upstream);
+EffectiveLimit LimitOf(const PlacementState& state, UpstreamIndex upstream, double multiple);
 
-// Compares one usable upstream with a request. `spill` says that the upstream
-// is outside the request's home domain.
-Verdict CheckLoad(const PlacementState& state,
-                  UpstreamIndex upstream,
-                  PriorityClass priority,
-                  bool spill,
-                  TimePoint now);
+// What the load check needs to know of a request. `multiple` is that of the load
+// bound; `spill` says that the upstream is outside the request's home domain.
+struct LoadCheck {
+  PriorityClass priority = PriorityClass::kDraft;
+  double multiple = 1.0;
+  bool spill = false;
+  TimePoint now;
+};
+Verdict CheckLoad(const PlacementState& state, UpstreamIndex upstream, const LoadCheck& check);
+
+// The multiple of the load bound that holds for the request.
+double MultipleFor(const PlacementState& state, bool has_history);
 
 }  // namespace geraniumspread::placement::detail
 
--- a/src/placement/internal/explain.cc
+++ b/src/placement/internal/explain.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 
-#include "common/hash.h"
 #include "placement/internal/choice.h"
 #include "placement/internal/segments.h"
 #include "placement/placement.h"
@@ -23,15 +22,20 @@
   if (!detail::ChatMayUse(state, row.domain, request.chat, now)) {
     return Verdict::kDomainReturning;
   }
-  return detail::CheckLoad(state, upstream, request.priority, row.domain != home, now);
+  const detail::LoadCheck check{.priority = request.priority,
+                                .multiple = detail::MultipleFor(state, request.has_history),
+                                .spill = row.domain != home,
+                                .now = now};
+  return detail::CheckLoad(state, upstream, check);
 }
 
 CandidateExplanation Describe(const PlacementState& state,
                               UpstreamIndex upstream,
                               const PlacementRequest& request) {
   const UpstreamRow& row = state.upstreams[upstream];
-  const detail::EffectiveLimit effective = detail::LimitOf(state, upstream);
-  const std::uint64_t hash = MixHash(static_cast<std::uint64_t>(request.chat), row.hash);
+  const detail::EffectiveLimit effective =
+      detail::LimitOf(state, upstream, detail::MultipleFor(state, request.has_history));
+  const std::uint64_t hash = detail::RendezvousHash(request.chat, row.hash);
   return {.upstream = upstream,
           .name = std::string(UpstreamName(state, upstream)),
           .domain = state.domains[row.domain].name,
--- a/src/placement/internal/placement.cc
+++ b/src/placement/internal/placement.cc
@@ -28,6 +28,21 @@
   }
 }
 
+void NoteException(PlacementState& state, ChatKey chat, UpstreamIndex upstream, TimePoint now) {
+  PutException(state.exceptions, chat, upstream, now);
+}
+
+UpstreamIndex PlacedElsewhere(const PlacementState& state,
+                              ChatKey chat,
+                              UpstreamIndex asked,
+                              TimePoint now) {
+  const UpstreamIndex named =
+      FindException(state.exceptions, chat, state.settings.exception_hold, now);
+  const bool elsewhere = named != kNoUpstream && named != asked && AcceptsNewWork(state, named) &&
+                         state.upstreams[named].pool == state.upstreams[asked].pool;
+  return elsewhere ? named : kNoUpstream;
+}
+
 void NoteForwarded(PlacementState& state, UpstreamIndex upstream) {
   ChangeInFlight(state, upstream, 1);
 }
@@ -97,12 +112,12 @@
   detail::UpdateCapacity(state, now);
 }
 
-std::int32_t UpstreamLimit(const PlacementState& state, UpstreamIndex upstream) {
-  return detail::LimitOf(state, upstream).limit;
+std::int32_t UpstreamLimit(const PlacementState& state, UpstreamIndex upstream, bool has_history) {
+  return detail::LimitOf(state, upstream, detail::MultipleFor(state, has_history)).limit;
 }
 
 bool IsCold(const PlacementState& state, UpstreamIndex upstream) {
-  return detail::LimitOf(state, upstream).cold;
+  return detail::LimitOf(state, upstream, state.settings.bound_multiple).cold;
 }
 
 bool AcceptsNewWork(const PlacementState& state, UpstreamIndex upstream) {
--- a/src/placement/internal/segments.h
+++ b/src/placement/internal/segments.h
@@ -14,6 +14,16 @@
 // segments large, and only one logarithm per segment is needed.
 std::int32_t WeightClass(std::int32_t capacity);
 
+// Hash of a chat and an upstream. Both are well mixed already, so one wide
+// multiplication is enough; it is half the cost of MixHash on the hot path.
+inline std::uint64_t RendezvousHash(ChatKey chat, std::uint64_t upstream_hash) {
+  __extension__ using Wide = unsigned __int128;
+  constexpr std::uint64_t kMultiplier = 0x9e3779b97f4a7c15ULL;
+  const std::uint64_t mixed = static_cast<std::uint64_t>(chat) ^ upstream_hash;
+  const Wide product = static_cast<Wide>(mixed) * kMultiplier;
+  return static_cast<std::uint64_t>(product >> 64U) ^ static_cast<std::uint64_t>(product);
+}
+
 // Weighted rendezvous score; among equal weights it grows with the hash.
 double WeightedScore(std::uint64_t hash, std::int32_t weight);
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -122,6 +122,17 @@
                 const PlacementRequest& request,
                 const PlacementChoice& choice,
                 TimePoint now);
+// Records that another router placed the chat at `upstream`. An entry router
+// that places a chat elsewhere tells the owner of the first choice, because the
+// next turn reaches that owner through any entry router. The owner then refuses
+// with the hint PlacedElsewhere, which the entry router notes before it chooses
+// again.
+void NoteException(PlacementState& state, ChatKey chat, UpstreamIndex upstream, TimePoint now);
+// For the owner of `asked`: where the chat's cache is if it is not there, or kNoUpstream.
+UpstreamIndex PlacedElsewhere(const PlacementState& state,
+                              ChatKey chat,
+                              UpstreamIndex asked,
+                              TimePoint now);
 // Records that the owner (this router) dispatches a request that another router placed.
 void NoteForwarded(PlacementState& state, UpstreamIndex upstream);
 // Ends a request that NotePlaced or NoteForwarded recorded.
@@ -148,8 +159,11 @@
 void TickPlacement(PlacementState& state, TimePoint now);
 
 // The in-flight limit of an upstream over all routers: the cold limit while
-// cold, otherwise min(capacity, load bound).
-std::int32_t UpstreamLimit(const PlacementState& state, UpstreamIndex upstream);
+// cold, otherwise min(capacity, load bound). The bound is lower for chats without
+// history, but a router that finds no room below it may use the higher one.
+std::int32_t UpstreamLimit(const PlacementState& state,
+                           UpstreamIndex upstream,
+                           bool has_history = true);
 bool IsCold(const PlacementState& state, UpstreamIndex upstream);
 // Whether the owner may still dispatch there: live and its domain in service.
 bool AcceptsNewWork(const PlacementState& state, UpstreamIndex upstream);
--- a/src/placement/placement_types.h
+++ b/src/placement/placement_types.h
@@ -35,6 +35,9 @@
 struct PlacementSettings {
   // Most load of one upstream as a multiple of the mean load (I1).
   double bound_multiple = 1.25;
+  // The same for chats without history, which have no cache to lose. Chats that
+  // return find room at their upstream because new chats go elsewhere earlier.
+  double new_chat_multiple = 1.1;
   // How long an owner's refusal keeps the upstream out of the choice.
   Duration refusal_hold = std::chrono::milliseconds(200);
   // Time over which the chats of a domain return to it.
--- a/src/placement/tests/placement_test.cc
+++ b/src/placement/tests/placement_test.cc
@@ -82,6 +82,7 @@
   requests.reserve(2000);
   for (int chat = 0; chat < 2000; ++chat) {
     requests.push_back(Request(chat % 700));
+    requests.back().has_history = chat % 3 != 0;
   }
   const std::size_t before = AllocationCount();
   std::size_t failed = 0;
@@ -193,17 +194,24 @@
 // Guards against chats that lose their cache although their upstream stays.
 BOOST_AUTO_TEST_CASE(JoinAndLeaveMoveTheMinimum) {
   PlacementState state = MakeFleet(21);
-  constexpr int kChats = 2000;
+  constexpr int kChats = 4000;
   std::vector<UpstreamIndex> before;
   before.reserve(kChats);
   for (int chat = 0; chat < kChats; ++chat) {
     before.push_back(Choose(state, chat));
   }
   SetUpstreamState(state, 4, UpstreamState::kLeaving);
+  std::set<UpstreamIndex> receivers;
   for (int chat = 0; chat < kChats; ++chat) {
-    const bool moved = Choose(state, chat) != before[static_cast<std::size_t>(chat)];
+    const UpstreamIndex now_at = Choose(state, chat);
+    const bool moved = now_at != before[static_cast<std::size_t>(chat)];
     BOOST_TEST(moved == (before[static_cast<std::size_t>(chat)] == 4));
+    if (moved) {
+      receivers.insert(now_at);
+    }
   }
+  // The load of a lost upstream must not fall on a few others.
+  BOOST_TEST(receivers.size() == 20U);
   SetUpstreamState(state, 4, UpstreamState::kLive);
   const UpstreamIndex joined = UpsertUpstream(
       state,
@@ -279,6 +287,40 @@
   BOOST_TEST(FindException(state.exceptions, Chat(399), seconds(600), later + seconds(1)) == 3U);
 }
 
+// Guards against a chat that loses its cache because another router placed its last turn.
+BOOST_AUTO_TEST_CASE(OwnerOfTheFirstChoiceKnowsTheException) {
+  PlacementState owner = MakeFleet(6);
+  const UpstreamIndex first = Choose(owner, 1);
+  const UpstreamIndex other = (first + 1) % 6;
+  BOOST_TEST(PlacedElsewhere(owner, Chat(1), first, kStart) == kNoUpstream);
+  NoteException(owner, Chat(1), other, kStart);
+  BOOST_TEST(PlacedElsewhere(owner, Chat(1), first, kStart) == other);
+  BOOST_TEST(PlacedElsewhere(owner, Chat(1), other, kStart) == kNoUpstream);
+  SetUpstreamState(owner, other, UpstreamState::kLeaving);
+  BOOST_TEST(PlacedElsewhere(owner, Chat(1), first, kStart) == kNoUpstream);
+}
+
+// Guards against new chats that take the room of returning ones, and against
+// refusing a new chat while there is room below the bound.
+BOOST_AUTO_TEST_CASE(NewChatsLeaveRoomForReturningOnes) {
+  PlacementState state = MakeFleet(6);
+  for (UpstreamIndex upstream = 0; upstream < 6; ++upstream) {
+    state.upstreams[upstream].in_flight = 12;
+  }
+  state.pools[0].in_flight_elsewhere = 60;
+  BOOST_TEST(UpstreamLimit(state, 0) == 13);
+  BOOST_TEST(UpstreamLimit(state, 0, false) == 12);
+  PlacementRequest request = Request(1);
+  request.has_history = false;
+  BOOST_TEST(static_cast<bool>(ChooseUpstream(state, request, kStart)));
+  const UpstreamIndex first = Choose(state, 1);
+  for (UpstreamIndex upstream = 0; upstream < 6; ++upstream) {
+    state.upstreams[upstream].in_flight = upstream == first ? 12 : 5;
+  }
+  BOOST_TEST(Choose(state, 1) == first);
+  BOOST_TEST(ChooseUpstream(state, request, kStart).value().upstream != first);
+}
+
 // Guards against an index that is reused while exceptions or requests still refer to it.
 BOOST_AUTO_TEST_CASE(GoneUpstreamFreesItsIndexLate) {
   PlacementState state = MakeFleet(6);
