--- a/apps/geranium_bench/decision_bench.cc
+++ b/apps/geranium_bench/decision_bench.cc
@@ -54,6 +54,7 @@
   PlacementState state = MakeWarmPlacement(spec, placement::PlacementSettings{}, TimePoint{});
   std::mt19937_64 random(seed);
   std::vector<placement::UpstreamIndex> running;
+  running.reserve(static_cast<std::size_t>(spec.runners) * kMeanInFlight);
   const auto place = [&](const PlacementRequest& request) {
     const auto choice = placement::ChooseUpstream(state, request, TimePoint{});
     if (!choice) {
--- a/apps/geranium_bench/lease_bench.cc
+++ b/apps/geranium_bench/lease_bench.cc
@@ -11,7 +11,7 @@
 namespace geraniumspread::bench {
 namespace {
 
-using namespace ownership;  // NOLINT(google-build-using-namespace): this file drives only leases
+using namespace ownership;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -210,8 +210,8 @@
                     TimePoint now);
 
 // How many requests may this router have in flight at the upstream now, when
-// all routers together may have `limit`. In constant time, without allocation,
-// up to the number of silent members.
+// all routers together may have `limit` (the cold limit, or the lower of
+// capacity and load bound). Takes time in proportion to the domain's members.
 Allowance AllowedInFlight(const OwnershipState& state,
                           UpstreamKey upstream,
                           std::int32_t limit,
