--- a/src/standin/internal/rate_limit.cc
+++ b/src/standin/internal/rate_limit.cc
@@ -6,11 +6,8 @@
 namespace geraniumspread::standin {
 namespace {
 
-constexpr Duration kStepTime =
-    std::chrono::duration_cast<Duration>(std::chrono::seconds(1)) / RateLimit::kSteps;
-
 void DropOldCalls(RateLimit& limit, TimePoint now) {
-  const auto steps = (now - limit.step_start) / kStepTime;
+  const auto steps = (now - limit.step_start) / RateLimit::kStepTime;
   if (steps >= static_cast<std::int64_t>(RateLimit::kSteps)) {
     limit.calls.fill(0);
     limit.step_start = now;
@@ -19,7 +16,7 @@
   for (std::int64_t index = 0; index < steps; ++index) {
     limit.step = (limit.step + 1) % RateLimit::kSteps;
     limit.calls.at(limit.step) = 0;
-    limit.step_start += kStepTime;
+    limit.step_start += RateLimit::kStepTime;
   }
 }
 
--- a/src/standin/rate_limit.h
+++ b/src/standin/rate_limit.h
@@ -8,9 +8,11 @@
 
 namespace geraniumspread::standin {
 
-// Counts calls in the last second, in steps of a tenth of a second.
+// Counts the calls of the last second in steps. The steps cover a little more
+// than a second, so that no second has more calls than the limit.
 struct RateLimit {
-  static constexpr std::size_t kSteps = 10;
+  static constexpr std::size_t kSteps = 11;
+  static constexpr Duration kStepTime = std::chrono::milliseconds(100);
 
   int calls_per_second = 0;
   std::array<int, kSteps> calls{};
