--- a/src/load/internal/answer_check.cc
+++ b/src/load/internal/answer_check.cc
@@ -102,7 +102,10 @@
                                std::string_view header_id,
                                std::string_view body) {
   const std::optional<json::object> answer = ParseObject(body);
-  const json::object* choice = answer ? FirstChoice(*answer) : nullptr;
+  if (!answer) {
+    return {AnswerFault::kMalformed, std::nullopt};
+  }
+  const json::object* choice = FirstChoice(*answer);
   const json::object* message = choice != nullptr ? ObjectMember(*choice, "message") : nullptr;
   if (message == nullptr) {
     return {AnswerFault::kMalformed, std::nullopt};
@@ -182,7 +185,11 @@
 
 int StreamCheck::TakeData(std::string_view id, std::string_view data) {
   const std::optional<json::object> body = ParseObject(data);
-  const json::object* choice = body ? FirstChoice(*body) : nullptr;
+  if (!body) {
+    this->Fail(AnswerFault::kMalformed);
+    return 0;
+  }
+  const json::object* choice = FirstChoice(*body);
   const json::object* delta = choice != nullptr ? ObjectMember(*choice, "delta") : nullptr;
   if (delta == nullptr) {
     this->Fail(AnswerFault::kMalformed);
