--- a/src/router/internal/request_run.cc
+++ b/src/router/internal/request_run.cc
@@ -94,7 +94,10 @@
 
 // Marks the ticket just before bytes may leave. False: nothing may be sent.
 bool MarkDispatched(RouterContext& context, RequestRun& run) {
+  // The exchange of the attempt itself follows the phases that the transport reports.
   outcomes::Exchange exchange;
+  outcomes::Apply(exchange, outcomes::ExchangeEvent::kConnectStarted);
+  outcomes::Apply(exchange, outcomes::ExchangeEvent::kConnected);
   return outcomes::BeginDispatch(run.attempts, exchange, context.state->tickets,
                                  RuntimeClock::now());
 }
