Forward the pool of a call and the whole path of a service request

Cause: a ticketed call that was forwarded lost its pool, so a repeat through another router had another digest (4 of 6 repeats got 422), and services got the path without its prefix (55 of 94 lookups had the wrong text).

--- a/src/router/internal/attempt.cc
+++ b/src/router/internal/attempt.cc
@@ -174,6 +174,7 @@
   transport::HttpHeaders& headers = http_request.headers;
   SetHeader(headers, "X-Forward-Method", request.method);
   SetHeader(headers, "X-Forward-Target", request.target);
+  SetHeader(headers, "X-Forward-Pool", request.pool);
   SetHeader(headers, "X-Forward-Class", std::to_string(static_cast<int>(request.request_class)));
   SetHeader(headers, "X-Workspace-Weight", std::to_string(request.workspace_weight));
   if (!plan.upstream.empty()) {
--- a/src/router/internal/caller_request.cc
+++ b/src/router/internal/caller_request.cc
@@ -186,7 +186,7 @@
     return RequestError{404, "unknown_service", "the service is not in the configuration"};
   }
   result.pool = service->name;
-  result.target = path;
+  result.target = request.target;
   const bool is_repeatable = config::IsRepeatable(*service, request.method, path);
   result.request_class =
       is_repeatable ? outcomes::RequestClass::kIdempotent : outcomes::RequestClass::kNonRepeatable;
--- a/src/router/internal/owner_flow.cc
+++ b/src/router/internal/owner_flow.cc
@@ -30,6 +30,7 @@
   result.chat = FindHeader(headers, "X-Chat-Id");
   result.method = FindHeader(headers, "X-Forward-Method");
   result.target = FindHeader(headers, "X-Forward-Target");
+  result.pool = FindHeader(headers, "X-Forward-Pool");
   result.content_type = FindHeader(headers, "Content-Type");
   result.ticket = FindHeader(headers, "Idempotency-Key");
   ParsePriorityClass(FindHeader(headers, "X-Priority"), result.priority);
@@ -39,6 +40,7 @@
       now + std::chrono::milliseconds(NumberOf<std::int64_t>(headers, "X-Deadline-Ms"));
   result.trace = observability::ParseTraceparent(FindHeader(headers, "traceparent"));
   result.body = std::move(request.body);
+  result.fingerprint = outcomes::FingerprintOf(result.workspace, result.pool, result.body);
   return result;
 }
 
