Hand tickets over at a planned stop and test whole paths on a paused clock

Cause: a planned stop lost the answers of finished orders, queued work stayed at an owner that had lost its lease, and no test covered a path from caller to engine. The event loop now looks at its timers while the clock is paused, so end-to-end tests over real sockets need no real time. /status carries the configuration status that geranium_ctl reads.

--- a/src/common/internal/runtime_clock.cc
+++ b/src/common/internal/runtime_clock.cc
@@ -32,6 +32,10 @@
   State().paused_at = now();
 }
 
+bool RuntimeClock::IsPaused() noexcept {
+  return State().paused_at.has_value();
+}
+
 void RuntimeClock::Advance(duration step) {
   if (ClockState& state = State(); state.paused_at) {
     *state.paused_at += step;
--- a/src/common/runtime_clock.h
+++ b/src/common/runtime_clock.h
@@ -21,6 +21,7 @@
 
   // Stops the clock at its current value.
   static void Pause();
+  static bool IsPaused() noexcept;
   // Moves a paused clock forward. `step` must not be negative.
   static void Advance(duration step);
   // Lets the clock run on from the value at which it was paused.
--- a/src/load/internal/load_driver.h
+++ b/src/load/internal/load_driver.h
@@ -2,19 +2,19 @@
 #define LOAD_INTERNAL_LOAD_DRIVER_H_
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "common/runtime_timer.h"
 #include "load/load_run.h"
 #include "transport/http_client.h"
 
 namespace geraniumspread::load::detail {
 
-using Timer = boost::asio::basic_waitable_timer<RuntimeClock>;
+using Timer = RuntimeTimer;
 inline constexpr auto kAwaitTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 
 // How one request ended.
--- a/src/router/internal/router.cc
+++ b/src/router/internal/router.cc
@@ -13,6 +13,7 @@
 #include "router/internal/platform_link.h"
 #include "router/internal/router_context.h"
 #include "router/internal/status_page.h"
+#include "router/internal/ticket_handover.h"
 #include "transport/frame_channel.h"
 #include "transport/http_server.h"
 
@@ -38,6 +39,14 @@
   return server;
 }
 
+// A ticket handover can be larger than any caller's request.
+transport::ServerLimits ToPeerLimits(const settings::LimitSettings& limits) {
+  static constexpr std::uint64_t kMaxHandoverBytes = std::uint64_t{32} << 20U;
+  transport::ServerLimits server = ToServerLimits(limits);
+  server.max_body_bytes = std::max(server.max_body_bytes, kMaxHandoverBytes);
+  return server;
+}
+
 // Grows with each start of an instance, also when its clock has been set back a little.
 std::uint64_t MakeIncarnation() {
   using std::chrono::milliseconds;
@@ -88,9 +97,9 @@
                         return this->ServePublic(std::move(request), responder);
                       }),
         peer_server(event_loop.get_executor(),
-                    ToServerLimits(settings.limits),
+                    ToPeerLimits(settings.limits),
                     [this](transport::HttpRequest request, transport::HttpResponder& responder) {
-                      return ServePeer(this->context, std::move(request), responder);
+                      return this->ServeInternal(std::move(request), responder);
                     }),
         control_server(event_loop.get_executor(), FrameLengthOf, [this](std::string_view frame) {
           this->ReceiveFrame(frame);
@@ -105,6 +114,17 @@
     co_await ServeCaller(this->context, std::move(request), responder);
   }
 
+  boost::asio::awaitable<void> ServeInternal(transport::HttpRequest request,
+                                             transport::HttpResponder& responder) {
+    if (request.target == "/internal/handover") {
+      co_await ServeHandover(this->context, request, responder);
+    } else if (request.target == "/internal/successor") {
+      co_await ServeSuccessor(this->context, request, responder);
+    } else {
+      co_await ServePeer(this->context, std::move(request), responder);
+    }
+  }
+
   void ReceiveFrame(std::string_view frame) {
     const auto received = this->context.codec.DecodeFrame(frame);
     if (!received) {
@@ -142,8 +162,10 @@
       timer.expires_after(kTickPeriod);
       co_await timer.async_wait(kAwaitTuple);
     }
-    LogEvent(LogLevel::kInfo, "router_stopped",
-             {{"cut_requests", this->public_server.ActiveRequests()}});
+    const std::size_t cut_requests =
+        this->public_server.ActiveRequests() + this->peer_server.ActiveRequests();
+    co_await HandOverTickets(this->context);
+    LogEvent(LogLevel::kInfo, "router_stopped", {{"cut_requests", cut_requests}});
     this->io.stop();
   }
 
--- a/src/router/internal/router_context.h
+++ b/src/router/internal/router_context.h
@@ -2,13 +2,13 @@
 #define ROUTER_INTERNAL_ROUTER_CONTEXT_H_
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/basic_waitable_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
 
 #include "common/runtime_clock.h"
+#include "common/runtime_timer.h"
 #include "fleet/peer_codec.h"
 #include "observability/metrics.h"
 #include "observability/trace.h"
@@ -20,7 +20,7 @@
 
 namespace geraniumspread::router::detail {
 
-using Timer = boost::asio::basic_waitable_timer<RuntimeClock>;
+using Timer = RuntimeTimer;
 
 // A request that waits in the queue of an upstream.
 struct SlotWaiter {
--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -276,6 +276,14 @@
   return allowance.limit - ownership::InFlight(state.ownership, row.key);
 }
 
+// Whether this router can expect to dispatch to the upstream soon.
+bool MayDispatch(const RouterState& state, const DomainUpstreamRow& row, TimePoint now) {
+  using ownership::AllowanceBasis;
+  const AllowanceBasis basis = ownership::AllowedInFlight(state.ownership, row.key, 1, now).basis;
+  return basis != AllowanceBasis::kNoLease && basis != AllowanceBasis::kReleasing &&
+         basis != AllowanceBasis::kUnknownUpstream;
+}
+
 // Hands free slots of one upstream to waiting requests.
 void PumpQueue(RouterState& state, DomainUpstreamRow& row, TickOutput& output, TimePoint now) {
   if (row.queue.waiting.empty()) {
@@ -286,6 +294,11 @@
                admission::RefuseAll(row.queue, admission::RefusalCode::kDomainOutOfService));
     return;
   }
+  if (!MayDispatch(state, row, now)) {
+    // The entry routers place these requests at the new owner.
+    AppendShed(output, row.id, admission::RefuseAll(row.queue, admission::RefusalCode::kNotOwner));
+    return;
+  }
   for (std::int32_t free = FreeSlots(state, row, now); free > 0; --free) {
     const admission::DispatchDecision decision = admission::NextToDispatch(row.queue, now);
     AppendShed(output, row.id, decision.shed);
@@ -580,11 +593,7 @@
     return output;
   }
   DomainUpstreamRow& row = found->second;
-  const auto allowance = ownership::AllowedInFlight(state.ownership, row.key, 1, now);
-  using ownership::AllowanceBasis;
-  if (allowance.basis == AllowanceBasis::kNoLease ||
-      allowance.basis == AllowanceBasis::kReleasing ||
-      allowance.basis == AllowanceBasis::kUnknownUpstream) {
+  if (!MayDispatch(state, row, now)) {
     refuse(admission::RefusalCode::kNotOwner);
     return output;
   }
--- a/src/router/internal/status_page.cc
+++ b/src/router/internal/status_page.cc
@@ -2,8 +2,11 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "config/config_status.h"
+
 namespace geraniumspread::router::detail {
 namespace {
 
@@ -30,18 +33,6 @@
          admission::ShareReady(context.state->limits, now);
 }
 
-json::array DescribeAlarms(const config::ConfigStore& store) {
-  json::array alarms;
-  for (const config::ConfigAlarm& alarm : store.alarms) {
-    alarms.push_back(json::object{{"kind", config::ToString(alarm.kind)},
-                                  {"version", alarm.version},
-                                  {"digest", alarm.digest},
-                                  {"message", alarm.message},
-                                  {"count", alarm.count}});
-  }
-  return alarms;
-}
-
 json::array DescribeUpstreams(const RouterState& state, TimePoint now) {
   json::array rows;
   for (const auto& [id, row] : state.upstreams) {
@@ -80,9 +71,7 @@
       {"failure_domain", state.identity.failure_domain},
       {"incarnation", state.identity.incarnation},
       {"state", StateName(context, now)},
-      {"config",
-       {{"version", state.store.in_force.version}, {"digest", state.store.in_force.digest}}},
-      {"alarms", DescribeAlarms(state.store)},
+      {"configuration", json::parse(config::SerializeStatus(config::StatusOf(state.store)))},
       {"upstreams", DescribeUpstreams(state, now)},
       {"routers", DescribeRouters(state)}};
   HttpResponse response;
--- a/src/standin/internal/http_util.h
+++ b/src/standin/internal/http_util.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/value.hpp>
 #include <charconv>
@@ -13,11 +12,12 @@
 #include <string_view>
 
 #include "common/runtime_clock.h"
+#include "common/runtime_timer.h"
 #include "transport/transport_types.h"
 
 namespace geraniumspread::standin::detail {
 
-using Timer = boost::asio::basic_waitable_timer<RuntimeClock>;
+using Timer = RuntimeTimer;
 inline constexpr auto kAwaitTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 
 // Wakes one waiting coroutine of the same event loop. The waiter checks its
--- a/src/transport/internal/http_common.h
+++ b/src/transport/internal/http_common.h
@@ -2,7 +2,6 @@
 #define TRANSPORT_INTERNAL_HTTP_COMMON_H_
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/string.hpp>
@@ -13,11 +12,12 @@
 #include <string_view>
 
 #include "common/runtime_clock.h"
+#include "common/runtime_timer.h"
 #include "transport/transport_types.h"
 
 namespace geraniumspread::transport::detail {
 
-using Timer = boost::asio::basic_waitable_timer<RuntimeClock>;
+using Timer = RuntimeTimer;
 using Tcp = boost::asio::ip::tcp;
 
 inline constexpr auto kAwaitTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
