--- a/src/config/compile.h
+++ b/src/config/compile.h
@@ -12,7 +12,7 @@
 namespace geraniumspread::config {
 
 // A shard is split while it is larger than this. Each change of one workspace
-// makes a router fetch one shard and one manifest (about 90 bytes per shard):
+// makes a router fetch one shard and one manifest (about 110 bytes per shard):
 // at 23,000 workspaces this size keeps both near 20 KB.
 inline constexpr std::size_t kShardTargetBytes = std::size_t{32} * 1024;
 
