--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -26,7 +26,9 @@
   Duration flap_hold = std::chrono::seconds(10);
   Duration flap_hold_max = std::chrono::seconds(80);
   // A router that was heard before and is silent for this long is no candidate
-  // for new ownership, even while the lagging list still names it.
+  // for new ownership, even while the lagging list still names it. It must be
+  // above the time between heartbeats of domain peers: 1 s up to 9 peers, about
+  // 7 s with 50 (docs/measurements/fleet.md), so 10 s at design size.
   Duration silent_after = std::chrono::seconds(3);
   // A list that removes more than half of the routers or upstreams is applied
   // only after the platform has repeated such lists for this long.
