--- a/src/load/tests/load_run_test.cc
+++ b/src/load/tests/load_run_test.cc
@@ -163,6 +163,19 @@
   BOOST_TEST(totals.replayed_orders == totals.repeated_orders);
 }
 
+// Guards against a fault script that is run in part or at wrong times.
+BOOST_AUTO_TEST_CASE(EventsFileIsChecked) {
+  std::string reason;
+  const auto events = ParseEvents("# faults\n1 /admin/a/crash\n\n2.5 /admin/b/cold\n", reason);
+  BOOST_REQUIRE(events.has_value());
+  BOOST_REQUIRE(events->size() == 2U);
+  BOOST_TEST((events->back().at == std::chrono::milliseconds(2500)));
+  for (const char* text : {"x /a\n", "1 a\n", "1\n", "1 /a b\n", "2 /a\n1 /b\n"}) {
+    BOOST_TEST(!ParseEvents(text, reason).has_value());
+    BOOST_TEST(reason.starts_with("line "));
+  }
+}
+
 // Guards against refusals that count as answers.
 BOOST_FIXTURE_TEST_CASE(RefusalsAreCountedApart, FakeRouter) {
   this->refuses_chats = true;
--- a/src/standin/internal/config_server.cc
+++ b/src/standin/internal/config_server.cc
@@ -100,7 +100,7 @@
   }
 }
 
-asio::awaitable<void> ConfigServer::Handle(transport::HttpRequest request,
+asio::awaitable<bool> ConfigServer::Handle(transport::HttpRequest request,
                                            transport::HttpResponder& responder) {
   ++this->calls;
   HttpResponse response;
@@ -117,10 +117,10 @@
   } else {
     response = RefusalResponse(404, "not_found", "no such key", "");
   }
-  return SendResponse(responder, std::move(response));
+  return responder.Send(std::move(response));
 }
 
-asio::awaitable<void> ConfigServer::HandleManifest(ParsedTarget target,
+asio::awaitable<bool> ConfigServer::HandleManifest(ParsedTarget target,
                                                    transport::HttpResponder& responder) {
   const std::uint64_t after = QueryNumber(target, "after").value_or(0);
   const std::uint64_t wait_ms = std::min(QueryNumber(target, "wait_ms").value_or(0), kMaxWaitMs);
@@ -137,7 +137,7 @@
   } else {
     response = ValueResponse(this->manifest->version, this->manifest->bytes);
   }
-  co_await responder.Send(std::move(response));
+  co_return co_await responder.Send(std::move(response));
 }
 
 asio::awaitable<void> ConfigServer::WaitForVersion(std::uint64_t after,
--- a/src/standin/internal/config_server.h
+++ b/src/standin/internal/config_server.h
@@ -31,9 +31,9 @@
   boost::json::object Stats(bool brief) const override;
 
  private:
-  boost::asio::awaitable<void> Handle(transport::HttpRequest request,
+  boost::asio::awaitable<bool> Handle(transport::HttpRequest request,
                                       transport::HttpResponder& responder) override;
-  boost::asio::awaitable<void> HandleManifest(ParsedTarget target,
+  boost::asio::awaitable<bool> HandleManifest(ParsedTarget target,
                                               transport::HttpResponder& responder);
   boost::asio::awaitable<void> WaitForVersion(std::uint64_t after,
                                               TimePoint deadline,
--- a/src/standin/internal/engine_server.cc
+++ b/src/standin/internal/engine_server.cc
@@ -94,32 +94,29 @@
   answer->signal.Notify();
 }
 
-asio::awaitable<void> EngineServer::Handle(Request request, Responder& responder) {
+asio::awaitable<bool> EngineServer::Handle(Request request, Responder& responder) {
   const std::string_view path = std::string_view(request.target);
   if (path.substr(0, path.find('?')) == "/v1/chat/completions") {
-    co_await this->HandleChat(std::move(request), responder);
-    co_return;
+    return this->HandleChat(std::move(request), responder);
   }
   HttpResponse response = this->Answer(request);
   if (const auto id = transport::FindHeader(request.headers, "X-Request-Id"); !id.empty()) {
     transport::SetHeader(response.headers, "X-Request-Id", id);
   }
-  co_await responder.Send(std::move(response));
+  return responder.Send(std::move(response));
 }
 
-asio::awaitable<void> EngineServer::HandleChat(Request request, Responder& responder) {
+asio::awaitable<bool> EngineServer::HandleChat(Request request, Responder& responder) {
   const std::string request_id(transport::FindHeader(request.headers, "X-Request-Id"));
   std::optional<ChatCall> call = ParseChatCall(request);
   HttpResponse refusal;
   if (request.method != "POST" || !call) {
     refusal = RefusalResponse(400, "bad_request", "not a chat completion request", request_id);
-    co_await responder.Send(std::move(refusal));
-    co_return;
+    co_return co_await responder.Send(std::move(refusal));
   }
   if (!call->model.empty() && call->model != this->engine.model) {
     refusal = RefusalResponse(404, "model_not_found", "another model is loaded", request_id);
-    co_await responder.Send(std::move(refusal));
-    co_return;
+    co_return co_await responder.Send(std::move(refusal));
   }
   const auto answer = std::make_shared<PendingAnswer>(this->executor);
   answer->request_id = request_id;
@@ -132,24 +129,22 @@
   answer->produced = answer->written;
   if (answer->submitted.status == SubmitStatus::kRefusedFull) {
     refusal = RefusalResponse(503, "engine_full", "too many requests are waiting", request_id);
-    co_await responder.Send(std::move(refusal));
-    co_return;
+    co_return co_await responder.Send(std::move(refusal));
   }
   if (answer->submitted.status == SubmitStatus::kDown) {
     // The crash closes this connection before any answer.
     this->Tick(now);
-    co_return;
+    co_return false;
   }
   this->answers[answer->number] = answer;
   responder.OnDisconnect([this, answer] { this->Abandon(answer); });
   if (call->stream) {
-    co_await this->SendStream(answer, responder);
-  } else {
-    co_await this->SendWhole(answer, responder);
+    co_return co_await this->SendStream(answer, responder);
   }
+  co_return co_await this->SendWhole(answer, responder);
 }
 
-asio::awaitable<void> EngineServer::SendStream(std::shared_ptr<PendingAnswer> answer,
+asio::awaitable<bool> EngineServer::SendStream(std::shared_ptr<PendingAnswer> answer,
                                                Responder& responder) {
   HttpHeaders headers = AnswerHeaders(*answer, this->settings.engine.id, "text/event-stream");
   while (!answer->HasNews()) {
@@ -157,14 +152,14 @@
   }
   if (answer->aborted || !co_await responder.StartStream(200, std::move(headers))) {
     this->Abandon(answer);
-    co_return;
+    co_return false;
   }
   while (true) {
     while (!answer->HasNews()) {
       co_await answer->signal.Wait();
     }
     if (answer->aborted) {
-      co_return;
+      co_return false;
     }
     const bool finished = answer->finished;
     const bool truncated = answer->truncated;
@@ -172,25 +167,24 @@
     answer->written = answer->produced;
     if (!co_await responder.Write(bytes)) {
       this->Abandon(answer);
-      co_return;
+      co_return false;
     }
     if (truncated) {
-      co_return;  // a stream without its last chunk closes the connection
+      co_return false;  // a stream without its last chunk closes the connection
     }
     if (finished) {
-      co_await responder.Finish();
-      co_return;
+      co_return co_await responder.Finish();
     }
   }
 }
 
-asio::awaitable<void> EngineServer::SendWhole(std::shared_ptr<PendingAnswer> answer,
+asio::awaitable<bool> EngineServer::SendWhole(std::shared_ptr<PendingAnswer> answer,
                                               Responder& responder) {
   while (!answer->finished && !answer->truncated && !answer->aborted) {
     co_await answer->signal.Wait();
   }
   if (answer->aborted) {
-    co_return;
+    co_return false;
   }
   HttpHeaders headers = AnswerHeaders(*answer, this->settings.engine.id, "application/json");
   std::string body = FormatCompletion(*answer);
@@ -198,10 +192,10 @@
     body.resize(body.size() / 2);
     co_await responder.StartStream(200, std::move(headers));
     co_await responder.Write(body);
-    co_return;
+    co_return false;
   }
   HttpResponse response(200, std::move(headers), std::move(body));
-  co_await responder.Send(std::move(response));
+  co_return co_await responder.Send(std::move(response));
 }
 
 HttpResponse EngineServer::Answer(const Request& request) {
--- a/src/standin/internal/engine_server.h
+++ b/src/standin/internal/engine_server.h
@@ -58,10 +58,10 @@
   template <typename T>
   using Awaitable = boost::asio::awaitable<T>;
 
-  Awaitable<void> Handle(Request request, Responder& responder) override;
-  Awaitable<void> HandleChat(Request request, Responder& responder);
-  Awaitable<void> SendStream(std::shared_ptr<PendingAnswer> answer, Responder& responder);
-  Awaitable<void> SendWhole(std::shared_ptr<PendingAnswer> answer, Responder& responder);
+  Awaitable<bool> Handle(Request request, Responder& responder) override;
+  Awaitable<bool> HandleChat(Request request, Responder& responder);
+  Awaitable<bool> SendStream(std::shared_ptr<PendingAnswer> answer, Responder& responder);
+  Awaitable<bool> SendWhole(std::shared_ptr<PendingAnswer> answer, Responder& responder);
   transport::HttpResponse Answer(const Request& request);
   transport::HttpResponse AnswerOrder(const Request& request);
   transport::HttpResponse AnswerExport(const Request& request);
--- a/src/standin/internal/http_util.cc
+++ b/src/standin/internal/http_util.cc
@@ -68,11 +68,6 @@
   return found == target.query.end() ? std::nullopt : ParseNumber<std::uint64_t>(found->second);
 }
 
-boost::asio::awaitable<void> SendResponse(transport::HttpResponder& responder,
-                                          transport::HttpResponse response) {
-  co_await responder.Send(std::move(response));
-}
-
 transport::HttpResponse JsonResponse(const boost::json::value& body, int status) {
   transport::HttpResponse response;
   response.status = status;
--- a/src/standin/internal/http_util.h
+++ b/src/standin/internal/http_util.h
@@ -13,7 +13,6 @@
 #include <string_view>
 
 #include "common/runtime_clock.h"
-#include "transport/http_server.h"
 #include "transport/transport_types.h"
 
 namespace geraniumspread::standin::detail {
@@ -58,10 +57,6 @@
 // Empty when the parameter is missing or not a number.
 std::optional<std::uint64_t> QueryNumber(const ParsedTarget& target, const std::string& name);
 
-// Sends a whole answer. The handlers that only do this are plain functions,
-// since the analyzer of clang-tidy 19 misreads the shortest coroutines.
-boost::asio::awaitable<void> SendResponse(transport::HttpResponder& responder,
-                                          transport::HttpResponse response);
 transport::HttpResponse JsonResponse(const boost::json::value& body, int status = 200);
 transport::HttpResponse RefusalResponse(int status,
                                         std::string_view code,
--- a/src/standin/internal/listener.h
+++ b/src/standin/internal/listener.h
@@ -27,7 +27,9 @@
   RequestHandler& operator=(const RequestHandler&) = delete;
   virtual ~RequestHandler() = default;
 
-  virtual boost::asio::awaitable<void> Handle(transport::HttpRequest request,
+  // Returns whether a whole answer was sent. A handler that only sends one
+  // returns Send of the responder: clang-tidy 19 misreads very short coroutines.
+  virtual boost::asio::awaitable<bool> Handle(transport::HttpRequest request,
                                               transport::HttpResponder& responder) = 0;
 };
 
--- a/src/standin/internal/platform_servers.cc
+++ b/src/standin/internal/platform_servers.cc
@@ -22,7 +22,7 @@
   }
 }
 
-asio::awaitable<void> InstanceListServer::Handle(transport::HttpRequest request,
+asio::awaitable<bool> InstanceListServer::Handle(transport::HttpRequest request,
                                                  transport::HttpResponder& responder) {
   ++this->calls;
   HttpResponse response;
@@ -32,7 +32,7 @@
   } else {
     response = RefusalResponse(404, "not_found", "no such endpoint", "");
   }
-  return SendResponse(responder, std::move(response));
+  return responder.Send(std::move(response));
 }
 
 ActionResult InstanceListServer::Act(const Action& action, TimePoint now) {
@@ -71,7 +71,7 @@
   this->limit.calls_per_second = settings.calls_per_second;
 }
 
-asio::awaitable<void> WeightStoreServer::Handle(transport::HttpRequest request,
+asio::awaitable<bool> WeightStoreServer::Handle(transport::HttpRequest request,
                                                 transport::HttpResponder& responder) {
   constexpr std::string_view kPrefix = "/weights/";
   ++this->calls;
@@ -85,7 +85,7 @@
     response.headers.push_back({"Content-Type", "application/octet-stream"});
     response.body.assign(this->settings.object_bytes, 'w');
   }
-  return SendResponse(responder, std::move(response));
+  return responder.Send(std::move(response));
 }
 
 ActionResult WeightStoreServer::Act(const Action& action, TimePoint) {
--- a/src/standin/internal/platform_servers.h
+++ b/src/standin/internal/platform_servers.h
@@ -29,7 +29,7 @@
   boost::json::object Stats(bool brief) const override;
 
  private:
-  boost::asio::awaitable<void> Handle(transport::HttpRequest request,
+  boost::asio::awaitable<bool> Handle(transport::HttpRequest request,
                                       transport::HttpResponder& responder) override;
 
   std::string id = "instances";
@@ -54,7 +54,7 @@
   boost::json::object Stats(bool brief) const override;
 
  private:
-  boost::asio::awaitable<void> Handle(transport::HttpRequest request,
+  boost::asio::awaitable<bool> Handle(transport::HttpRequest request,
                                       transport::HttpResponder& responder) override;
 
   std::string id = "weights";
--- a/src/standin/internal/service_server.cc
+++ b/src/standin/internal/service_server.cc
@@ -59,7 +59,7 @@
   call->signal.Notify();
 }
 
-asio::awaitable<void> ServiceServer::Handle(transport::HttpRequest request,
+asio::awaitable<bool> ServiceServer::Handle(transport::HttpRequest request,
                                             transport::HttpResponder& responder) {
   const std::string request_id(transport::FindHeader(request.headers, "X-Request-Id"));
   ServiceCall service_call;
@@ -76,12 +76,12 @@
     co_await call->signal.Wait();
   }
   if (call->aborted) {
-    co_return;
+    co_return false;
   }
-  co_await this->SendAnswer(responder, request_id, std::move(call->body));
+  co_return co_await this->SendAnswer(responder, request_id, std::move(call->body));
 }
 
-asio::awaitable<void> ServiceServer::SendAnswer(transport::HttpResponder& responder,
+asio::awaitable<bool> ServiceServer::SendAnswer(transport::HttpResponder& responder,
                                                 std::string request_id,
                                                 std::string body) {
   if (std::exchange(this->wrong_id_next, false)) {
@@ -95,10 +95,10 @@
     body.resize(body.size() / 2);
     co_await responder.StartStream(200, std::move(headers));
     co_await responder.Write(body);
-    co_return;
+    co_return false;
   }
   transport::HttpResponse response(200, std::move(headers), std::move(body));
-  co_await responder.Send(std::move(response));
+  co_return co_await responder.Send(std::move(response));
 }
 
 void ServiceServer::Crash(const Action& action, TimePoint now) {
--- a/src/standin/internal/service_server.h
+++ b/src/standin/internal/service_server.h
@@ -40,9 +40,9 @@
   std::optional<ListedInstance> Listing() const;
 
  private:
-  boost::asio::awaitable<void> Handle(transport::HttpRequest request,
+  boost::asio::awaitable<bool> Handle(transport::HttpRequest request,
                                       transport::HttpResponder& responder) override;
-  boost::asio::awaitable<void> SendAnswer(transport::HttpResponder& responder,
+  boost::asio::awaitable<bool> SendAnswer(transport::HttpResponder& responder,
                                           std::string request_id,
                                           std::string body);
   void Abandon(const std::shared_ptr<PendingCall>& call);
--- a/src/standin/internal/standin_host.cc
+++ b/src/standin/internal/standin_host.cc
@@ -38,7 +38,7 @@
 
  private:
   asio::awaitable<void> RunTicks();
-  asio::awaitable<void> Handle(transport::HttpRequest request,
+  asio::awaitable<bool> Handle(transport::HttpRequest request,
                                transport::HttpResponder& responder) override;
   HttpResponse AnswerAdmin(const transport::HttpRequest& request);
   HttpResponse AllStats(bool brief) const;
@@ -152,9 +152,9 @@
   return nullptr;
 }
 
-asio::awaitable<void> HostState::Handle(transport::HttpRequest request,
+asio::awaitable<bool> HostState::Handle(transport::HttpRequest request,
                                         transport::HttpResponder& responder) {
-  return SendResponse(responder, this->AnswerAdmin(request));
+  return responder.Send(this->AnswerAdmin(request));
 }
 
 HttpResponse HostState::AllStats(bool brief) const {
--- a/src/standin/tests/engine_test.cc
+++ b/src/standin/tests/engine_test.cc
@@ -321,11 +321,11 @@
   const std::string prompt = Words(32);
   this->Submit("a", prompt, 1);
   this->Run(milliseconds(100));
-  const auto bytes = ExportChat(this->engine, "chat-a");
-  BOOST_REQUIRE(bytes.has_value());
+  const std::string bytes = ExportChat(this->engine, "chat-a").value_or("");
+  BOOST_REQUIRE(!bytes.empty());
   this->Reset();
-  BOOST_TEST(!ImportChat(this->engine, "chat-a", bytes->substr(0, bytes->size() - 1), this->now));
-  BOOST_TEST(ImportChat(this->engine, "chat-a", *bytes, this->now).value_or(0) == 2U);
+  BOOST_TEST(!ImportChat(this->engine, "chat-a", bytes.substr(0, bytes.size() - 1), this->now));
+  BOOST_TEST(ImportChat(this->engine, "chat-a", bytes, this->now).value_or(0) == 2U);
   this->events.clear();
   this->Submit("a", prompt, 1);
   this->Run(milliseconds(20));
