--- a/src/load/internal/load_driver.h
+++ b/src/load/internal/load_driver.h
@@ -61,6 +61,9 @@
   Awaitable<void> WaitUntil(TimePoint time);
   Awaitable<void> RunArrival(Arrival arrival);
   Awaitable<std::optional<StandinCounts>> ReadStandins(std::string target);
+  // Empty without an answer of status 200.
+  Awaitable<std::optional<std::string>> ReadBody(transport::Endpoint endpoint,
+                                                 transport::HttpRequest request);
   // Negative when the router has no such counter.
   Awaitable<double> ReadControlBytes(transport::Endpoint router);
 
--- a/src/load/internal/load_run.cc
+++ b/src/load/internal/load_run.cc
@@ -14,8 +14,7 @@
 namespace detail {
 namespace {
 
-constexpr std::size_t kMaxStatsBytes = std::size_t{256} << 20U;
-constexpr std::size_t kMaxMetricsBytes = std::size_t{16} << 20U;
+constexpr std::size_t kMaxBodyBytes = std::size_t{256} << 20U;
 constexpr std::string_view kControlBytesMetric = "geranium_control_bytes_total";
 constexpr Duration kLongWait = std::chrono::hours(24);
 
@@ -54,6 +53,7 @@
 asio::awaitable<void> LoadDriver::Run() {
   this->report.before = co_await this->ReadStandins("/admin/stats?brief=1");
   std::vector<double> bytes_before;
+  bytes_before.reserve(this->settings.routers.size());
   for (const transport::Endpoint& router : this->settings.routers) {
     bytes_before.push_back(co_await this->ReadControlBytes(router));
   }
@@ -66,6 +66,7 @@
   }
   this->report.elapsed = RuntimeClock::now() - this->started_at;
   std::vector<double> bytes_after;
+  bytes_after.reserve(this->settings.routers.size());
   for (const transport::Endpoint& router : this->settings.routers) {
     bytes_after.push_back(co_await this->ReadControlBytes(router));
   }
@@ -115,9 +116,7 @@
     }
     co_await this->WaitUntil(this->started_at + event.at);
     HttpRequest request("POST", event.path);
-    const Response response = co_await transport::Fetch(
-        this->pool, *this->settings.admin, std::move(request), this->timeouts, kMaxMetricsBytes);
-    const bool done = response.has_value() && response.value().status == 200;
+    const bool done = (co_await this->ReadBody(admin, std::move(request))).has_value();
     ++this->totals.events[(done ? "done " : "failed ") + event.path];
   }
 }
@@ -137,27 +136,37 @@
   return this->RunOrder(arrival);
 }
 
+asio::awaitable<std::optional<std::string>> LoadDriver::ReadBody(transport::Endpoint endpoint,
+                                                                 HttpRequest request) {
+  const auto exchange =
+      std::make_unique<transport::HttpExchange>(this->pool, std::move(endpoint), this->timeouts);
+  const Response response =
+      co_await exchange->Start(std::move(request), transport::ConnectionPolicy::kReuse);
+  if (!response.has_value() || response.value().status != 200) {
+    co_return std::nullopt;
+  }
+  transport::Result<std::string> body = co_await exchange->ReadAll(kMaxBodyBytes);
+  if (!body.has_value()) {
+    co_return std::nullopt;
+  }
+  co_return std::move(body).value();
+}
+
 asio::awaitable<std::optional<StandinCounts>> LoadDriver::ReadStandins(std::string target) {
   if (!this->settings.admin) {
     co_return std::nullopt;
   }
   HttpRequest request("GET", std::move(target));
-  const Response response = co_await transport::Fetch(
-      this->pool, *this->settings.admin, std::move(request), this->timeouts, kMaxStatsBytes);
-  if (!response.has_value() || response.value().status != 200) {
-    co_return std::nullopt;
-  }
-  co_return ParseStandinCounts(response.value().body);
+  const std::optional<std::string> body =
+      co_await this->ReadBody(*this->settings.admin, std::move(request));
+  co_return body ? ParseStandinCounts(*body) : std::nullopt;
 }
 
 asio::awaitable<double> LoadDriver::ReadControlBytes(transport::Endpoint router) {
   HttpRequest request("GET", "/metrics");
-  const Response response = co_await transport::Fetch(
-      this->pool, std::move(router), std::move(request), this->timeouts, kMaxMetricsBytes);
-  std::optional<double> sum;
-  if (response.has_value() && response.value().status == 200) {
-    sum = SumOfMetric(response.value().body, kControlBytesMetric);
-  }
+  const std::optional<std::string> body =
+      co_await this->ReadBody(std::move(router), std::move(request));
+  const std::optional<double> sum = body ? SumOfMetric(*body, kControlBytesMetric) : std::nullopt;
   co_return sum.value_or(-1);
 }
 
