Test the cold limit over two owners

The second owner starts cold while streams of the first one still run. Without the count of foreign load the test sees an overshoot.

--- a/apps/geranium_bench/lease_bench.cc
+++ b/apps/geranium_bench/lease_bench.cc
@@ -93,9 +93,11 @@
 Domain MakeDomain(std::size_t routers, std::size_t upstreams, const OwnershipSettings& settings) {
   Domain domain;
   std::vector<RouterKey> members;
+  members.reserve(routers);
   for (std::size_t router = 0; router < routers; ++router) {
     members.push_back(MakeRouterKey("router-" + std::to_string(router)));
   }
+  domain.upstreams.reserve(upstreams);
   for (std::size_t upstream = 0; upstream < upstreams; ++upstream) {
     domain.upstreams.push_back({.upstream = MakeUpstreamKey("runner-" + std::to_string(upstream))});
   }
--- a/src/ownership/tests/ownership_test.cc
+++ b/src/ownership/tests/ownership_test.cc
@@ -5,6 +5,7 @@
 #include <numeric>
 
 #include "ownership/tests/fake_domain.h"
+#include "placement/cold_start.h"
 
 namespace geraniumspread::ownership {
 namespace {
@@ -241,6 +242,46 @@
   }
 }
 
+// Most requests above the growing cold limit of an upstream whose first owner
+// dies with streams running. The upstream starts cold at the second owner.
+std::int32_t OvershootOfColdLimit(const OwnershipPolicy& policy) {
+  FakeDomain domain(8, 2, policy, 11);
+  domain.request_time = seconds(12);
+  placement::ColdStartState cold;
+  placement::ApplyReport(cold, {}, {.incarnation = 1, .capacity = 16, .cold_limit = 2}, domain.now);
+  std::size_t owner = kNobody;
+  std::int64_t finished = 0;
+  std::int32_t overshoot = 0;
+  for (int step = 0; step < 1200; ++step) {
+    if (const std::size_t holder = domain.Holder(); holder != owner && holder != kNobody) {
+      owner = holder;
+      placement::ResetColdStart(cold, placement::ColdReason::kNoReport);
+    }
+    if (step == 600) {
+      BOOST_TEST(!cold.cold);
+      domain.routers[owner].alive = false;
+      domain.SetMembersOfAll({0, 1, 2, 3, 4, 5, 6, 7});
+    }
+    domain.limit = placement::InFlightLimit(cold);
+    const std::int64_t started = domain.started;
+    domain.Run(milliseconds(100));
+    const auto running = static_cast<std::int32_t>(domain.running.size());
+    if (domain.started > started) {
+      overshoot = std::max(overshoot, running - domain.limit);
+    }
+    for (; finished < domain.started - running; ++finished) {
+      placement::NoteSuccess(cold, {}, cold.epoch);
+    }
+  }
+  return overshoot;
+}
+
+// Guards I2 over owners: a second owner that starts at the limit which the first one reached.
+BOOST_AUTO_TEST_CASE(ColdLimitHoldsOverOwners) {
+  BOOST_TEST(OvershootOfColdLimit({}) <= 0);
+  BOOST_TEST(OvershootOfColdLimit({.count_foreign_load = false}) > 0);
+}
+
 // Draws one fault or one repair of a fault.
 void DrawEvent(FakeDomain& domain, std::vector<std::size_t>& listed) {
   const std::size_t size = domain.routers.size();
