--- a/apps/geranium_router/main.cc
+++ b/apps/geranium_router/main.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <functional>
 #include <iostream>
 
 #include "observability/log.h"
@@ -40,7 +41,7 @@
         return;
       }
       is_stopping = true;
-      router.BeginStop();
+      router.BeginStop([&io] { io.stop(); });
       wait_for_signal();
     });
   };
--- a/src/router/internal/router.cc
+++ b/src/router/internal/router.cc
@@ -147,7 +147,7 @@
     }
   }
 
-  boost::asio::awaitable<void> Stop() {
+  boost::asio::awaitable<void> Stop(std::function<void()> stopped) {
     const auto& configuration = this->context.state->configuration;
     const Duration deadline = configuration ? Duration(configuration->settings.stop_deadline)
                                             : Duration(config::FleetSettings().stop_deadline);
@@ -166,7 +166,7 @@
         this->public_server.ActiveRequests() + this->peer_server.ActiveRequests();
     co_await HandOverTickets(this->context);
     LogEvent(LogLevel::kInfo, "router_stopped", {{"cut_requests", cut_requests}});
-    this->io.stop();
+    stopped();
   }
 
   boost::asio::io_context& io;
@@ -212,12 +212,13 @@
   return boost::outcome_v2::success();
 }
 
-void Router::BeginStop() {
+void Router::BeginStop(std::function<void()> stopped) {
   if (std::exchange(this->process->stopping, true)) {
     return;
   }
   observability::LogEvent(observability::LogLevel::kInfo, "router_stopping");
-  boost::asio::co_spawn(this->process->io, this->process->Stop(), boost::asio::detached);
+  boost::asio::co_spawn(this->process->io, this->process->Stop(std::move(stopped)),
+                        boost::asio::detached);
 }
 
 }  // namespace geraniumspread::router
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -2,6 +2,7 @@
 #define ROUTER_ROUTER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -30,8 +31,8 @@
   // Opens all ports and starts the tick.
   ResultOf<void, RouterError> Start();
   // Graceful stop: /readyz answers 503 first, then no new connections are
-  // accepted, running requests end, and the event loop is stopped.
-  void BeginStop();
+  // accepted, running requests end, and `stopped` is called.
+  void BeginStop(std::function<void()> stopped);
 
  private:
   std::unique_ptr<detail::RouterProcess> process;
--- a/src/router/tests/end_to_end_test.cc
+++ b/src/router/tests/end_to_end_test.cc
@@ -15,6 +15,7 @@
 #include "standin/answer_text.h"
 #include "standin/standin_host.h"
 #include "transport/http_client.h"
+#include "transport/test_support/free_port.h"
 
 // Whole paths over real sockets on one event loop: two routers, two engines, one
 // plain service and the platform's stand-ins. The clock is paused; the loop
@@ -44,10 +45,7 @@
     "service,orders,,,,,,,,,,,,,GET /*,10s,8,,,\n"
     "workspace,w,1,100,1000,*,suggestion,,,,,,,,,,,,,\n";
 
-Endpoint FreeEndpoint(asio::io_context& io) {
-  const asio::ip::tcp::acceptor probe(io, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", probe.local_endpoint().port()};
-}
+constexpr std::uint16_t kFirstPort = 16000;
 
 struct Deployment {
   ScopedPausedClock paused;
@@ -60,7 +58,7 @@
   std::vector<std::unique_ptr<Router>> routers;
 
   Deployment() {
-    this->platform.admin = FreeEndpoint(this->io);
+    this->platform.admin = transport::FreeEndpoint(this->io, kFirstPort);
     this->folder = std::filesystem::temp_directory_path() /
                    ("end_to_end_test_" + std::to_string(this->platform.admin.port));
     this->WriteConfiguration();
@@ -95,11 +93,11 @@
 
   void AddPlatform() {
     standin::ConfigServiceSettings config_service;
-    config_service.endpoint = FreeEndpoint(this->io);
+    config_service.endpoint = transport::FreeEndpoint(this->io, kFirstPort);
     config_service.folder = this->folder.string();
     this->platform.config_service = config_service;
     standin::InstanceListSettings list;
-    list.endpoint = FreeEndpoint(this->io);
+    list.endpoint = transport::FreeEndpoint(this->io, kFirstPort);
     this->platform.instance_list = list;
     for (const std::string id : {"e1", "e2"}) {
       standin::HostedEngine engine;
@@ -107,23 +105,23 @@
       engine.engine.model = "m";
       engine.pool = "p";
       engine.failure_domain = "a";
-      engine.endpoint = FreeEndpoint(this->io);
+      engine.endpoint = transport::FreeEndpoint(this->io, kFirstPort);
       this->platform.engines.push_back(engine);
     }
     standin::HostedService service;
     service.service.id = "orders-1";
     service.service.service = "orders";
     service.failure_domain = "a";
-    service.endpoint = FreeEndpoint(this->io);
+    service.endpoint = transport::FreeEndpoint(this->io, kFirstPort);
     this->platform.services.push_back(service);
   }
 
   void AddRouter(const std::string& id) {
     settings::RouterSettings settings;
     settings.instance = {id, "a"};
-    settings.listen.public_port = FreeEndpoint(this->io).port;
-    settings.listen.peer_port = FreeEndpoint(this->io).port;
-    settings.listen.control_port = FreeEndpoint(this->io).port;
+    settings.listen.public_port = transport::FreeEndpoint(this->io, kFirstPort).port;
+    settings.listen.peer_port = transport::FreeEndpoint(this->io, kFirstPort).port;
+    settings.listen.control_port = transport::FreeEndpoint(this->io, kFirstPort).port;
     const auto& config_service = this->platform.config_service->endpoint;
     const auto& list = this->platform.instance_list->endpoint;
     settings.platform.config_service = {config_service.address, config_service.port};
@@ -279,10 +277,13 @@
     const std::string ticket(transport::FindHeader(without.headers, "X-Ticket"));
     const HttpResponse first = co_await deployment.Send(0, OrderRequest(ticket, "order 9"));
     BOOST_REQUIRE_MESSAGE(first.status == 200, first.body);
-    deployment.routers[0]->BeginStop();
+    bool stopped = false;
+    deployment.routers[0]->BeginStop([&stopped] { stopped = true; });
     RuntimeTimer timer(deployment.io);
-    timer.expires_after(std::chrono::milliseconds(2900));
-    co_await timer.async_wait(asio::use_awaitable);
+    while (!stopped) {
+      timer.expires_after(std::chrono::milliseconds(100));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
     const HttpResponse repeat = co_await deployment.Send(1, OrderRequest(ticket, "order 9"));
     BOOST_TEST(repeat.status == 200);
     BOOST_TEST(repeat.body == first.body);
@@ -302,14 +303,13 @@
     bad_model.body = R"({"model":"other","messages":[{"role":"user","content":"x"}]})";
     HttpRequest bad_priority = ChatRequest("c", false);
     transport::SetHeader(bad_priority.headers, "X-Priority", "urgent");
-    const HttpResponse responses[] = {
-        co_await deployment.Send(0, no_workspace), co_await deployment.Send(0, bad_json),
-        co_await deployment.Send(0, bad_model), co_await deployment.Send(0, bad_priority)};
+    const std::vector<HttpRequest> requests = {no_workspace, bad_json, bad_model, bad_priority};
     const std::string_view codes[] = {"unknown_workspace", "invalid_json", "unknown_model",
                                       "invalid_priority"};
-    for (std::size_t index = 0; index < std::size(codes); ++index) {
-      BOOST_TEST(CodeOf(responses[index]) == codes[index]);
-      BOOST_TEST(transport::FindHeader(responses[index].headers, "X-Ran") == "no");
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+      const HttpResponse response = co_await deployment.Send(0, requests[index]);
+      BOOST_TEST(CodeOf(response) == codes[index]);
+      BOOST_TEST(transport::FindHeader(response.headers, "X-Ran") == "no");
     }
   }(*this));
 }
--- a/src/standin/tests/host_test.cc
+++ b/src/standin/tests/host_test.cc
@@ -13,6 +13,7 @@
 
 #include "standin/answer_text.h"
 #include "transport/http_client.h"
+#include "transport/test_support/free_port.h"
 
 namespace geraniumspread::standin {
 namespace {
@@ -26,18 +27,15 @@
 
 constexpr std::size_t kMaxBody = 1 << 20;
 
-// A port that is free now.
-Endpoint FreeEndpoint(asio::io_context& io) {
-  const asio::ip::tcp::acceptor probe(io, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", probe.local_endpoint().port()};
-}
+constexpr std::uint16_t kFirstPort = 18000;
 
 // One engine, the configuration service and a client on one event loop.
 struct Fixture {
   asio::io_context io;
   transport::HttpConnectionPool pool{io.get_executor()};
-  std::filesystem::path folder = std::filesystem::temp_directory_path() /
-                                 ("standin_host_test_" + std::to_string(FreeEndpoint(io).port));
+  std::filesystem::path folder =
+      std::filesystem::temp_directory_path() /
+      ("standin_host_test_" + std::to_string(transport::FreeEndpoint(io, kFirstPort).port));
   PlatformSettings settings;
   std::optional<StandinHost> host;
 
@@ -45,9 +43,9 @@
     std::filesystem::create_directories(this->folder / "shard");
     this->WriteFile("manifest", R"({"version":1})");
     this->WriteFile("shard/abc", "shard bytes");
-    this->settings.admin = FreeEndpoint(this->io);
+    this->settings.admin = transport::FreeEndpoint(this->io, kFirstPort);
     ConfigServiceSettings config;
-    config.endpoint = FreeEndpoint(this->io);
+    config.endpoint = transport::FreeEndpoint(this->io, kFirstPort);
     config.folder = this->folder.string();
     this->settings.config_service = config;
     HostedEngine engine;
@@ -56,7 +54,7 @@
     engine.engine.token_time = milliseconds(1);
     engine.engine.restart_time = milliseconds(30);
     engine.engine.starts_warm = true;
-    engine.endpoint = FreeEndpoint(this->io);
+    engine.endpoint = transport::FreeEndpoint(this->io, kFirstPort);
     this->settings.engines.push_back(engine);
     this->host.emplace(this->io.get_executor(), this->settings);
     BOOST_REQUIRE(!this->host->Start().has_value());
