--- a/src/load/tests/load_run_test.cc
+++ b/src/load/tests/load_run_test.cc
@@ -44,7 +44,7 @@
 
   FakeRouter() {
     this->server.emplace(this->io.get_executor(), transport::ServerLimits{},
-                         [this](HttpRequest request, HttpResponder& responder) {
+                         [this](const HttpRequest& request, HttpResponder& responder) {
                            return this->Handle(request, responder);
                          });
     const std::uint16_t port = this->server->Listen({"127.0.0.1", 0}).value();
