--- a/src/standin/tests/host_test.cc
+++ b/src/standin/tests/host_test.cc
@@ -33,9 +33,15 @@
 struct Fixture {
   asio::io_context io;
   transport::HttpConnectionPool pool{io.get_executor()};
+<<<<<<< HEAD
   std::filesystem::path folder =
       std::filesystem::temp_directory_path() /
       ("standin_host_test_" + std::to_string(transport::FreeEndpoint(io, kFirstPort).port));
+=======
+  std::filesystem::path folder = std::filesystem::temp_directory_path() /
+                                 ("standin_host_test_" + std::to_string(FreeEndpoint(io).port));
+  Endpoint config_endpoint = FreeEndpoint(this->io);
+>>>>>>> standin
   PlatformSettings settings;
   std::optional<StandinHost> host;
 
@@ -45,7 +51,11 @@
     this->WriteFile("shard/abc", "shard bytes");
     this->settings.admin = transport::FreeEndpoint(this->io, kFirstPort);
     ConfigServiceSettings config;
+<<<<<<< HEAD
     config.endpoint = transport::FreeEndpoint(this->io, kFirstPort);
+=======
+    config.endpoint = this->config_endpoint;
+>>>>>>> standin
     config.folder = this->folder.string();
     this->settings.config_service = config;
     HostedEngine engine;
@@ -82,8 +92,8 @@
     co_return response ? response.value().status : 0;
   }
 
-  asio::awaitable<int> GetConfig(std::string key) {
-    return this->Get(this->settings.config_service->endpoint, "/v1/config/" + key);
+  asio::awaitable<int> GetConfig(const std::string& key) {
+    return this->Get(this->config_endpoint, "/v1/config/" + key);
   }
 
   asio::awaitable<void> Act(std::string path) {
