--- a/src/standin/tests/host_test.cc
+++ b/src/standin/tests/host_test.cc
@@ -33,15 +33,10 @@
 struct Fixture {
   asio::io_context io;
   transport::HttpConnectionPool pool{io.get_executor()};
-<<<<<<< HEAD
   std::filesystem::path folder =
       std::filesystem::temp_directory_path() /
       ("standin_host_test_" + std::to_string(transport::FreeEndpoint(io, kFirstPort).port));
-=======
-  std::filesystem::path folder = std::filesystem::temp_directory_path() /
-                                 ("standin_host_test_" + std::to_string(FreeEndpoint(io).port));
-  Endpoint config_endpoint = FreeEndpoint(this->io);
->>>>>>> standin
+  Endpoint config_endpoint = transport::FreeEndpoint(this->io, kFirstPort);
   PlatformSettings settings;
   std::optional<StandinHost> host;
 
