--- a/src/standin/tests/host_test.cc
+++ b/src/standin/tests/host_test.cc
@@ -46,11 +46,7 @@
     this->WriteFile("shard/abc", "shard bytes");
     this->settings.admin = transport::FreeEndpoint(this->io, kFirstPort);
     ConfigServiceSettings config;
-<<<<<<< HEAD
-    config.endpoint = transport::FreeEndpoint(this->io, kFirstPort);
-=======
     config.endpoint = this->config_endpoint;
->>>>>>> standin
     config.folder = this->folder.string();
     this->settings.config_service = config;
     HostedEngine engine;
