Tell the owner of the first choice where a chat was placed

Cause: chats return through any entry router, but only the entry router that placed a chat off its first choice knew where its cache was.

--- a/src/router/internal/attempt.cc
+++ b/src/router/internal/attempt.cc
@@ -180,6 +180,9 @@
   if (!plan.upstream.empty()) {
     SetHeader(headers, "X-Upstream", plan.upstream);
   }
+  if (plan.is_final) {
+    SetHeader(headers, "X-Placement-Final", "1");
+  }
   http_request.method = "POST";
   http_request.target = kForwardTarget;
   SignPeerRequest(context.state->identity.shared_key, receiver.incarnation, http_request);
@@ -257,6 +260,7 @@
                            attempt);
   if (!outcomes::Ended(attempt.exchange)) {
     attempt.refusal = RefusalOf(attempt.head, StableHash(request.request_id));
+    attempt.placed_elsewhere = FindHeader(attempt.head.headers, "X-Placed-Elsewhere");
   }
 }
 
--- a/src/router/internal/attempt.h
+++ b/src/router/internal/attempt.h
@@ -26,11 +26,15 @@
   transport::HttpResponse head;
   // The refusal of the owner; nothing has run.
   std::optional<admission::Refusal> refusal;
+  // Named by an owner that refused because the chat's cache is there.
+  std::string placed_elsewhere;
 };
 
 struct AttemptPlan {
   std::string upstream;
   std::uint64_t resume_offset = 0;
+  // The owner shall not name another upstream.
+  bool is_final = false;
   transport::ConnectionPolicy policy = transport::ConnectionPolicy::kReuse;
 };
 
--- a/src/router/internal/owner_flow.cc
+++ b/src/router/internal/owner_flow.cc
@@ -5,6 +5,7 @@
 
 #include "router/internal/attempt.h"
 #include "router/internal/entry_flow.h"
+#include "router/internal/placement_hints.h"
 
 namespace geraniumspread::router::detail {
 namespace {
@@ -101,6 +102,16 @@
                    request.request_id));
     co_return;
   }
+  if (const std::string hint =
+          plan.is_final ? std::string() : FindHint(context, request, row->second.index);
+      !hint.empty()) {
+    transport::HttpResponse refusal =
+        ToResponse(admission::MakeRefusal(admission::RefusalCode::kUpstreamAtLimit, Duration{0}, 0),
+                   request.request_id);
+    transport::SetHeader(refusal.headers, "X-Placed-Elsewhere", hint);
+    co_await responder.Send(std::move(refusal));
+    co_return;
+  }
   const ForwardedRequest forwarded(context, row->second.index);
   Attempt attempt;
   attempt.upstream = plan.upstream;
@@ -136,6 +147,7 @@
   AttemptPlan plan;
   plan.upstream = FindHeader(request.headers, "X-Upstream");
   plan.resume_offset = NumberOf<std::uint64_t>(request.headers, "X-Resume-Offset");
+  plan.is_final = !FindHeader(request.headers, "X-Placement-Final").empty();
   CallerRequest forwarded = ReadForwarded(std::move(request), now);
   const bool is_repeatable = forwarded.request_class != outcomes::RequestClass::kNonRepeatable;
   plan.policy =
--- a/src/router/internal/peer_auth.cc
+++ b/src/router/internal/peer_auth.cc
@@ -14,11 +14,11 @@
 constexpr Duration kNoncePeriod = std::chrono::hours(1);
 constexpr std::size_t kMaxNonces = 200'000;
 
-constexpr std::array<std::string_view, 15> kSignedHeaders = {
+constexpr std::array<std::string_view, 16> kSignedHeaders = {
     "X-Peer-Nonce",       "X-Request-Id",    "X-Upstream",     "X-Workspace",
     "X-Workspace-Weight", "X-Chat-Id",       "X-Priority",     "X-Deadline-Ms",
     "X-Resume-Offset",    "Idempotency-Key", "X-Forward-Kind", "X-Forward-Method",
-    "X-Forward-Target",   "X-Forward-Class", "X-Forward-Pool"};
+    "X-Forward-Target",   "X-Forward-Class", "X-Forward-Pool", "X-Placement-Final"};
 
 std::string SignedText(std::uint64_t receiver, const transport::HttpRequest& request) {
   std::string text = std::to_string(receiver) + '\n' + request.method + '\n' + request.target;
--- a/src/router/internal/request_run.cc
+++ b/src/router/internal/request_run.cc
@@ -8,6 +8,7 @@
 #include "common/hash.h"
 #include "observability/log.h"
 #include "router/internal/entry_flow.h"
+#include "router/internal/placement_hints.h"
 #include "router/internal/stream_relay.h"
 
 namespace geraniumspread::router::detail {
@@ -138,6 +139,7 @@
   AttemptPlan plan;
   plan.upstream = std::move(upstream);
   plan.resume_offset = run.progress.next_offset;
+  plan.is_final = run.hint_followed;
   const bool is_fresh =
       run.fresh_connection || run.request.request_class == outcomes::RequestClass::kNonRepeatable;
   plan.policy =
@@ -201,6 +203,24 @@
   co_return false;
 }
 
+// Takes over where the chat's cache is, once per request.
+bool FollowHint(RouterContext& context,
+                RequestRun& run,
+                const placement::PlacementRequest& where,
+                const Attempt& attempt) {
+  if (!attempt.refusal || attempt.placed_elsewhere.empty() || run.hint_followed) {
+    return false;
+  }
+  run.hint_followed = true;
+  placement::PlacementState& state = context.state->placement;
+  if (const auto upstream = placement::FindUpstream(state, attempt.placed_elsewhere);
+      upstream != placement::kNoUpstream) {
+    placement::NoteException(state, where.chat, upstream, RuntimeClock::now());
+  }
+  context.metrics.Count("geranium_placement_hints_followed_total");
+  return true;
+}
+
 // One placement and one attempt. True when another one follows.
 boost::asio::awaitable<bool> TryOnce(RouterContext& context, RequestRun& run) {
   const TimePoint now = RuntimeClock::now();
@@ -213,7 +233,11 @@
   Attempt attempt;
   attempt.upstream = placement::UpstreamName(context.state->placement, choice->upstream);
   const PlacedRequest placed(context, where, *choice);
+  AnnouncePlacement(context, run.request, *choice);
   co_await Open(context, run, MakePlan(run, attempt.upstream), attempt);
+  if (FollowHint(context, run, where, attempt)) {
+    co_return true;
+  }
   if (attempt.refusal) {
     run.last_refusal = attempt.refusal;
     placement::NoteRefusal(context.state->placement, choice->upstream, RuntimeClock::now());
--- a/src/router/internal/request_run.h
+++ b/src/router/internal/request_run.h
@@ -25,6 +25,8 @@
   std::uint32_t placements = 0;
   // After a silent or broken connection the next attempt opens a new one.
   bool fresh_connection = false;
+  // The owner of the first choice has said where the chat's cache is.
+  bool hint_followed = false;
   std::optional<admission::Refusal> last_refusal;
   // Set at the end: the whole answer or the error. Unset for a finished stream.
   std::optional<transport::HttpResponse> answer;
--- a/src/router/internal/router.cc
+++ b/src/router/internal/router.cc
@@ -10,6 +10,7 @@
 #include "observability/log.h"
 #include "router/internal/entry_flow.h"
 #include "router/internal/owner_flow.h"
+#include "router/internal/placement_hints.h"
 #include "router/internal/platform_link.h"
 #include "router/internal/router_context.h"
 #include "router/internal/status_page.h"
@@ -118,6 +119,8 @@
                                              transport::HttpResponder& responder) {
     if (request.target == "/internal/handover") {
       co_await ServeHandover(this->context, request, responder);
+    } else if (request.target == "/internal/placement") {
+      co_await ServePlacementHint(this->context, request, responder);
     } else if (request.target == "/internal/successor") {
       co_await ServeSuccessor(this->context, request, responder);
     } else {
--- a/src/router/internal/ticket_handover.cc
+++ b/src/router/internal/ticket_handover.cc
@@ -8,8 +8,8 @@
 
 #include "observability/log.h"
 #include "outcomes/handover_json.h"
+#include "router/internal/peer_client.h"
 #include "transport/error_response.h"
-#include "transport/http_client.h"
 
 namespace geraniumspread::router::detail {
 namespace {
@@ -18,8 +18,6 @@
 using outcomes::RouterIncarnation;
 using transport::HttpRequest;
 
-constexpr std::size_t kMaxAnswerBytes = std::size_t{64} * 1024;
-constexpr Duration kHandoverTimeout = std::chrono::seconds(3);
 constexpr int kTakenStatus = 200;
 constexpr int kRefusedStatus = 409;
 // Routers asked to take the tickets before the stop goes on without.
@@ -38,21 +36,6 @@
   return peers;
 }
 
-// The status of the answer, or 0 when there was none.
-boost::asio::awaitable<int> Post(RouterContext& context,
-                                 const fleet::RouterMember& receiver,
-                                 std::string target,
-                                 std::string body) {
-  HttpRequest request("POST", std::move(target), {}, std::move(body));
-  SignPeerRequest(context.state->identity.shared_key, receiver.incarnation, request);
-  transport::Endpoint endpoint(receiver.endpoint.address, receiver.endpoint.peer_port);
-  transport::ExchangeTimeouts timeouts;
-  timeouts.first_byte = kHandoverTimeout;
-  const auto response = co_await transport::Fetch(context.connections, std::move(endpoint),
-                                                  std::move(request), timeouts, kMaxAnswerBytes);
-  co_return response ? response.value().status : 0;
-}
-
 boost::asio::awaitable<void> AnnounceSuccessor(RouterContext& context,
                                                const RouterIncarnation& successor) {
   const RouterIdentity& identity = context.state->identity;
@@ -62,16 +45,10 @@
                                    {"successor", successor.router},
                                    {"successor_incarnation", successor.incarnation}});
   for (const fleet::RouterMember& peer : ServingPeers(context)) {
-    co_await Post(context, peer, "/internal/successor", body);
+    co_await PostToPeer(context, peer, "/internal/successor", body);
   }
 }
 
-bool IsFromPeer(RouterContext& context, const HttpRequest& request) {
-  const RouterIdentity& identity = context.state->identity;
-  return VerifyPeerRequest(identity.shared_key, identity.incarnation, request, context.nonces,
-                           RuntimeClock::now());
-}
-
 transport::HttpResponse Refusal(int status, std::string_view code, std::string_view message) {
   return transport::MakeErrorResponse({.status = status, .code = code, .message = message});
 }
@@ -114,8 +91,8 @@
     if (!handover) {
       break;
     }
-    const int status = co_await Post(context, peer, "/internal/handover",
-                                     outcomes::HandoverToJson(handover.value()));
+    const int status = co_await PostToPeer(context, peer, "/internal/handover",
+                                           outcomes::HandoverToJson(handover.value()));
     if (status == kTakenStatus) {
       co_await AnnounceSuccessor(context, successor);
       observability::LogEvent(
