--- a/src/settings/settings_types.h
+++ b/src/settings/settings_types.h
@@ -37,8 +37,8 @@
 
 struct LimitSettings {
   std::uint32_t max_header_bytes = 16 * 1024;
-  std::uint64_t max_body_bytes = 4 * 1024 * 1024;
-  std::uint64_t max_answer_bytes = 16 * 1024 * 1024;
+  std::uint64_t max_body_bytes = std::uint64_t{4} << 20U;
+  std::uint64_t max_answer_bytes = std::uint64_t{16} << 20U;
   std::uint32_t max_connections = 10'000;
   std::uint32_t max_concurrent_requests = 20'000;
   Duration read_timeout = std::chrono::seconds(20);
--- a/src/transport/transport_types.h
+++ b/src/transport/transport_types.h
@@ -111,7 +111,7 @@
 // Limits that bound the memory and time one connection can take.
 struct ServerLimits {
   std::uint32_t max_header_bytes = 16 * 1024;
-  std::uint64_t max_body_bytes = 4 * 1024 * 1024;
+  std::uint64_t max_body_bytes = std::uint64_t{4} << 20U;
   std::size_t max_connections = 10'000;
   Duration read_timeout = std::chrono::seconds(20);
   Duration idle_timeout = std::chrono::seconds(60);
