Add scripted scenarios over the router core

A Lua scenario drives 2 to 8 router states in one process with small fakes of the platform, the engines and the channel.

--- a/src/scenario/fleet.h
+++ b/src/scenario/fleet.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -85,8 +86,8 @@
   TimePoint deadline;
   Duration run_time{0};
   std::int64_t placements = 0;
-  placement::PlacementChoice choice;
-  bool placed = false;
+  std::uint64_t attempt = 0;  // the one that runs; results of others are ignored
+  placement::UpstreamIndex upstream = placement::kNoUpstream;  // at the entry router
   outcomes::RequestAttempts attempts;
   std::string ticket;
   std::int64_t call = 0;  // of the ticket; 0 for other requests
@@ -98,7 +99,9 @@
   std::size_t owner = 0;
   std::uint64_t owner_incarnation = 0;
   std::string upstream;
-  bool is_forwarded = false;
+  // Where the owner counts a forwarded request.
+  placement::UpstreamIndex forwarded = placement::kNoUpstream;
+  bool granted = false;
   bool running = false;
   TimePoint started;
   router::DispatchEnd end;
