--- a/src/scenario/fleet.h
+++ b/src/scenario/fleet.h
@@ -135,6 +135,7 @@
   std::uint64_t last_attempt = 0;
   // What the checks look at.
   RequestCounts counts;
+  std::map<std::string, std::int64_t> refusals;  // of owners and entry routers, by code
   std::vector<StartedRun> starts;
   std::vector<ColdArrival> cold_arrivals;
   std::vector<std::pair<TimePoint, std::int64_t>> load_excess;
--- a/src/scenario/internal/requests.cc
+++ b/src/scenario/internal/requests.cc
@@ -179,6 +179,7 @@
   }
   const LinkFault link = LinkOf(fleet, fleet.routers[request.entry], owner.identity.id);
   if (link.cut || !owner.state) {
+    ++fleet.refusals["owner_unreachable"];
     const std::uint64_t number = attempt.request;
     fleet.attempts.erase(handle);
     PostToRouter(fleet, request.entry, link.cut ? kConnectTimeout : kHop,
@@ -202,12 +203,14 @@
   const auto choice =
       router::IsServing(state, fleet.now) ? Choose(state, where, fleet.now) : std::nullopt;
   if (!choice) {
+    ++fleet.refusals["no_upstream"];
     PlaceAgain(fleet, number);
     return;
   }
   const std::string upstream(placement::UpstreamName(state.placement, choice->upstream));
   const fleet::RouterMember* owner = router::FindOwner(state, upstream, fleet.now);
   if (owner == nullptr) {
+    ++fleet.refusals["no_owner"];
     placement::NoteRefusal(state.placement, choice->upstream, fleet.now);
     PlaceAgain(fleet, number);
     return;
@@ -258,6 +261,7 @@
     return;
   }
   if (!result.granted) {
+    ++fleet.refusals[std::string(admission::ToString(result.refusal.code))];
     EndAttempt(fleet, result.request, AttemptResult::kNotRun, false);
     return;
   }
--- a/src/scenario/internal/script.cc
+++ b/src/scenario/internal/script.cc
@@ -293,6 +293,15 @@
   return 1;
 }
 
+int RefusalsBinding(lua_State* lua) {
+  std::string text;
+  for (const auto& [code, count] : FleetOf(lua).refusals) {
+    text += (text.empty() ? "" : ", ") + code + " " + std::to_string(count);
+  }
+  lua_pushstring(lua, text.c_str());
+  return 1;
+}
+
 constexpr luaL_Reg kFunctions[] = {
     {"fleet", Bound<MakeFleetBinding>},
     {"advance", Bound<AdvanceBinding>},
@@ -336,6 +345,7 @@
     {"sent", Bound<CountBinding<&RequestCounts::sent>>},
     {"answered", Bound<CountBinding<&RequestCounts::answered>>},
     {"refused", Bound<CountBinding<&RequestCounts::refused>>},
+    {"refusals", Bound<RefusalsBinding>},
     {"failed", Bound<CountBinding<&RequestCounts::failed>>},
 };
 
