Don't judge owners of other domains by missing heartbeats

Cause: FindOwner took a router of another domain for silent after 3 s without a heartbeat, but such routers send heartbeats to 3 random members a second, so with 8 routers some pairs are always silent for longer. The entry router then found no owner or a wrong one. Routers of other domains are now left out only when the list lacks them or they announced that they don't serve.

--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -451,6 +451,20 @@
                         asked_at);
 }
 
+// Whether the router may be the owner of an upstream of its domain. Routers of
+// other domains send heartbeats to few random members, so their silence for a
+// few seconds says nothing; the platform's list tells when they are gone.
+bool MayOwn(const RouterState& state, const fleet::RouterMember& router, TimePoint now) {
+  if (router.id == state.identity.id) {
+    return !state.draining;
+  }
+  if (router.failure_domain == state.identity.failure_domain) {
+    return fleet::IsCandidate(state.membership, router, now);
+  }
+  const bool may_serve = !router.last_heard || router.state == fleet::RouterState::kServing;
+  return router.member && !router.leaving && may_serve && now >= router.flaps.damped_until;
+}
+
 }  // namespace
 
 std::unique_ptr<RouterState> MakeRouterState(const RouterIdentity& identity,
@@ -663,10 +677,7 @@
   }
   std::vector<ownership::RouterKey> candidates;
   for (const fleet::RouterMember& router : state.membership.routers) {
-    const bool is_self = router.id == state.identity.id;
-    const bool is_candidate =
-        is_self ? !state.draining : fleet::IsCandidate(state.membership, router, now);
-    if (router.failure_domain == member->failure_domain && is_candidate) {
+    if (router.failure_domain == member->failure_domain && MayOwn(state, router, now)) {
       candidates.push_back(ownership::MakeRouterKey(router.id));
     }
   }
