--- /dev/null
+++ b/scenarios/domain_out_crestline.lua
@@ -0,0 +1,30 @@
+-- I3: a failure domain that is taken out gets no new work after 3 s, and its chats return gradually.
+fleet{routers=8, domains={"a","b","c"}, engines=12, cold_limit=2, capacity=16, seed=3}
+advance("8s")
+send{count=400, chats=3000, over="10s"}
+advance("10s")
+send{count=1600, chats=3000, over="10s"}
+advance("12s")
+send{count=12000, chats=3000, over="100s"}
+advance("10s")
+local before = share_in("a", "5s")
+take_out("a")
+advance("30s")
+expect(new_work_in("a", "after 3s") == 0, "new work in the domain: " .. new_work_in("a", "after 3s"))
+note("runs in the domain after it was taken out: " .. new_work_in("a"))
+bring_back("a")
+advance("8s")
+local early = share_in("a", "2s")
+advance("10s")
+local middle = share_in("a", "2s")
+advance("17s")
+local late = share_in("a", "2s")
+note("share of the domain: " .. before .. " before, " .. early .. ", " .. middle .. ", " .. late .. " after 8, 18 and 35 s")
+expect(early > 0 and early < 0.6 * before, "after 8 s of 30 about a quarter of the chats are back")
+expect(middle > early and middle < before, "after 18 s more are back, but not all")
+expect(late > 0.8 * before, "after the ramp the domain has its share again")
+advance("30s")
+note("answered " .. answered() .. " of " .. sent() .. ", refused " .. refused() .. ", failed " .. failed() .. "; refusals: " .. refusals())
+expect(answered() == sent(), "requests without an answer: " .. sent() - answered())
+expect(running_peak_cold() <= 2, "cold overshoot: " .. running_peak_cold() .. " running")
+expect(unfinished() == 0, "requests that never ended: " .. unfinished())
--- /dev/null
+++ b/scenarios/one_fault_twice_pause.lua
@@ -0,0 +1,20 @@
+-- One fault twice: the owner of a cold engine pauses past its lease, and then its successor does.
+fleet{routers=6, domains={"a","b","c"}, engines=20, cold_limit=2, capacity=16, seed=22}
+advance("6s")
+send{count=900, chats=300, over="30s", run_time="1s"}
+local first = owner_of("engine-1")
+advance("1s")
+pause(first)
+advance("5s")
+resume(first)
+advance("4s")
+local second = owner_of("engine-1")
+note("owners: " .. first .. ", " .. second)
+expect(second ~= "", "the engine has an owner again")
+pause(second)
+advance("5s")
+resume(second)
+advance("30s")
+note("answered " .. answered() .. " of " .. sent() .. ", refused " .. refused() .. ", failed " .. failed() .. "; refusals: " .. refusals())
+expect(running_peak_cold() <= 2, "cold overshoot: " .. running_peak_cold() .. " running")
+expect(unfinished() == 0, "requests that never ended: " .. unfinished())
--- a/src/scenario/fleet.h
+++ b/src/scenario/fleet.h
@@ -193,6 +193,10 @@
 std::int64_t NewWorkIn(const Fleet& fleet, const std::string& domain, Duration after);
 // Runs that started at an engine `after` it began to leave.
 std::int64_t NewWorkAt(const Fleet& fleet, const std::string& engine, Duration after);
+// The router that holds the lease of the engine by its own clock, or an empty text.
+std::string OwnerOf(const Fleet& fleet, const std::string& engine);
+// Requests that wait at the owners of upstreams.
+std::int64_t Queued(const Fleet& fleet);
 // Share of the runs of the last `span` that started in the domain.
 double ShareIn(const Fleet& fleet, const std::string& domain, Duration span);
 bool IsInForceEverywhere(const Fleet& fleet, std::uint64_t version);
--- a/src/scenario/internal/checks.cc
+++ b/src/scenario/internal/checks.cc
@@ -46,6 +46,21 @@
   });
 }
 
+std::string OwnerOf(const Fleet& fleet, const std::string& engine) {
+  const auto key = ownership::MakeUpstreamKey(detail::FindUpstream(fleet, engine).id);
+  for (const RouterNode& node : fleet.routers) {
+    if (node.state && ownership::HoldsLease(node.state->ownership, key, fleet.now)) {
+      return node.identity.id;
+    }
+  }
+  return {};
+}
+
+std::int64_t Queued(const Fleet& fleet) {
+  return std::ranges::count_if(fleet.attempts,
+                               [](const auto& entry) { return !entry.second.granted; });
+}
+
 double ShareIn(const Fleet& fleet, const std::string& domain, Duration span) {
   std::int64_t all = 0;
   std::int64_t inside = 0;
--- a/src/scenario/internal/script.cc
+++ b/src/scenario/internal/script.cc
@@ -293,6 +293,22 @@
   return 1;
 }
 
+int QueuedBinding(lua_State* lua) {
+  lua_pushinteger(lua, Queued(FleetOf(lua)));
+  return 1;
+}
+
+int UnfinishedBinding(lua_State* lua) {
+  const RequestCounts& counts = FleetOf(lua).counts;
+  lua_pushinteger(lua, counts.sent - counts.answered - counts.refused - counts.failed);
+  return 1;
+}
+
+int OwnerBinding(lua_State* lua) {
+  lua_pushstring(lua, OwnerOf(FleetOf(lua), TextArgument(lua, 1)).c_str());
+  return 1;
+}
+
 int RefusalsBinding(lua_State* lua) {
   std::string text;
   for (const auto& [code, count] : FleetOf(lua).refusals) {
@@ -345,6 +361,9 @@
     {"sent", Bound<CountBinding<&RequestCounts::sent>>},
     {"answered", Bound<CountBinding<&RequestCounts::answered>>},
     {"refused", Bound<CountBinding<&RequestCounts::refused>>},
+    {"queued", Bound<QueuedBinding>},
+    {"owner_of", Bound<OwnerBinding>},
+    {"unfinished", Bound<UnfinishedBinding>},
     {"refusals", Bound<RefusalsBinding>},
     {"failed", Bound<CountBinding<&RequestCounts::failed>>},
 };
