--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -276,7 +276,17 @@
   return allowance.limit - ownership::InFlight(state.ownership, row.key);
 }
 
-// Hands free slots of one upstream to waiting requests.
+// Whether the router may queue requests at the upstream: it holds the lease or
+// may use its reserve.
+bool MayQueue(const RouterState& state, const DomainUpstreamRow& row, TimePoint now) {
+  using ownership::AllowanceBasis;
+  const AllowanceBasis basis = ownership::AllowedInFlight(state.ownership, row.key, 1, now).basis;
+  return basis != AllowanceBasis::kNoLease && basis != AllowanceBasis::kReleasing &&
+         basis != AllowanceBasis::kUnknownUpstream;
+}
+
+// Hands free slots of one upstream to waiting requests. Without a lease they are
+// refused, so that the entry router places them at the new owner.
 void PumpQueue(RouterState& state, DomainUpstreamRow& row, TickOutput& output, TimePoint now) {
   if (row.queue.waiting.empty()) {
     return;
@@ -286,6 +296,10 @@
                admission::RefuseAll(row.queue, admission::RefusalCode::kDomainOutOfService));
     return;
   }
+  if (!MayQueue(state, row, now)) {
+    AppendShed(output, row.id, admission::RefuseAll(row.queue, admission::RefusalCode::kNotOwner));
+    return;
+  }
   for (std::int32_t free = FreeSlots(state, row, now); free > 0; --free) {
     const admission::DispatchDecision decision = admission::NextToDispatch(row.queue, now);
     AppendShed(output, row.id, decision.shed);
@@ -594,11 +608,7 @@
     return output;
   }
   DomainUpstreamRow& row = found->second;
-  const auto allowance = ownership::AllowedInFlight(state.ownership, row.key, 1, now);
-  using ownership::AllowanceBasis;
-  if (allowance.basis == AllowanceBasis::kNoLease ||
-      allowance.basis == AllowanceBasis::kReleasing ||
-      allowance.basis == AllowanceBasis::kUnknownUpstream) {
+  if (!MayQueue(state, row, now)) {
     refuse(admission::RefusalCode::kNotOwner);
     return output;
   }
