--- a/src/scenario/fleet.h
+++ b/src/scenario/fleet.h
@@ -86,6 +86,7 @@
   TimePoint deadline;
   Duration run_time{0};
   std::int64_t placements = 0;
+  bool ended = false;
   std::uint64_t attempt = 0;  // the one that runs; results of others are ignored
   placement::UpstreamIndex upstream = placement::kNoUpstream;  // at the entry router
   outcomes::RequestAttempts attempts;
@@ -195,6 +196,8 @@
 std::int64_t NewWorkAt(const Fleet& fleet, const std::string& engine, Duration after);
 // The router that holds the lease of the engine by its own clock, or an empty text.
 std::string OwnerOf(const Fleet& fleet, const std::string& engine);
+// What the owner of the engine bases its limit on, for notes.
+std::string ExplainLimit(const Fleet& fleet, const std::string& engine);
 // Requests that wait at the owners of upstreams.
 std::int64_t Queued(const Fleet& fleet);
 // Share of the runs of the last `span` that started in the domain.
--- a/src/scenario/internal/checks.cc
+++ b/src/scenario/internal/checks.cc
@@ -56,6 +56,27 @@
   return {};
 }
 
+std::string ExplainLimit(const Fleet& fleet, const std::string& engine) {
+  const std::string owner = OwnerOf(fleet, engine);
+  if (owner.empty()) {
+    return "no owner";
+  }
+  const router::RouterState& state = *fleet.routers[detail::FindRouter(fleet, owner)].state;
+  const auto row = state.upstreams.find(engine);
+  if (row == state.upstreams.end()) {
+    return owner + " does not know the engine";
+  }
+  const auto index = row->second.index;
+  const std::int32_t limit = placement::UpstreamLimit(state.placement, index);
+  const auto allowance =
+      ownership::AllowedInFlight(state.ownership, row->second.key, limit, fleet.now);
+  return owner + ": " + std::string(ownership::ToString(allowance.basis)) + ", limit " +
+         std::to_string(limit) + (placement::IsCold(state.placement, index) ? " (cold)" : "") +
+         ", left to silent members " + std::to_string(allowance.left_to_silent) + ", foreign " +
+         std::to_string(allowance.foreign) + ", own " +
+         std::to_string(ownership::InFlight(state.ownership, row->second.key));
+}
+
 std::int64_t Queued(const Fleet& fleet) {
   return std::ranges::count_if(fleet.attempts,
                                [](const auto& entry) { return !entry.second.granted; });
--- a/src/scenario/internal/faults.cc
+++ b/src/scenario/internal/faults.cc
@@ -113,6 +113,7 @@
   node.paused = false;
   node.held.clear();
   ++fleet.list_revision;
+  detail::LoseRequests(fleet, index);
   for (const std::uint64_t handle : detail::AttemptsAt(fleet, index)) {
     detail::LoseAttempt(fleet, handle);
   }
--- a/src/scenario/internal/fleet_internal.h
+++ b/src/scenario/internal/fleet_internal.h
@@ -58,6 +58,8 @@
 void EndAttempt(Fleet& fleet, std::uint64_t attempt, AttemptResult result, bool connection_lost);
 // The owner has died: the entry router sees the connection end.
 void LoseAttempt(Fleet& fleet, std::uint64_t attempt);
+// The entry router has died: its callers see their connections end.
+void LoseRequests(Fleet& fleet, std::size_t entry);
 void FinishCall(Fleet& fleet, std::int64_t call, std::string_view answer);
 
 }  // namespace geraniumspread::scenario::detail
--- a/src/scenario/internal/requests.cc
+++ b/src/scenario/internal/requests.cc
@@ -35,6 +35,7 @@
 // Ends a request without an answer. `last` is its latest exchange.
 void GiveUp(Fleet& fleet, Request& request, const outcomes::Exchange& last) {
   const bool not_run = request.attempts.ran == RunState::kNotRun;
+  request.ended = true;
   ++(not_run ? fleet.counts.refused : fleet.counts.failed);
   if (request.call != 0) {
     router::RouterState& state = *fleet.routers[request.entry].state;
@@ -120,13 +121,14 @@
 
 void HandleResult(Fleet& fleet, std::uint64_t number, std::uint64_t handle, AttemptResult result) {
   Request& request = fleet.requests.at(number);
-  if (request.attempt != handle) {
+  if (request.ended || request.attempt != handle) {
     return;
   }
   request.attempt = 0;
   router::RouterState& state = *fleet.routers[request.entry].state;
   placement::NoteFinished(state.placement, request.upstream);
   if (result == AttemptResult::kAnswered) {
+    request.ended = true;
     ++fleet.counts.answered;
     if (request.call != 0) {
       outcomes::StoreAnswer(request.attempts, state.tickets, {200, "text/plain", "done"});
@@ -297,6 +299,15 @@
   TellEntry(fleet, ended, attempt, result);
 }
 
+void LoseRequests(Fleet& fleet, std::size_t entry) {
+  for (auto& [number, request] : fleet.requests) {
+    if (request.entry == entry && !request.ended) {
+      request.ended = true;
+      ++fleet.counts.failed;
+    }
+  }
+}
+
 void LoseAttempt(Fleet& fleet, std::uint64_t attempt) {
   const Attempt& lost = fleet.attempts.at(attempt);
   const Request& request = fleet.requests.at(lost.request);
--- a/src/scenario/internal/script.cc
+++ b/src/scenario/internal/script.cc
@@ -309,6 +309,11 @@
   return 1;
 }
 
+int ExplainLimitBinding(lua_State* lua) {
+  lua_pushstring(lua, ExplainLimit(FleetOf(lua), TextArgument(lua, 1)).c_str());
+  return 1;
+}
+
 int RefusalsBinding(lua_State* lua) {
   std::string text;
   for (const auto& [code, count] : FleetOf(lua).refusals) {
@@ -364,6 +369,7 @@
     {"queued", Bound<QueuedBinding>},
     {"owner_of", Bound<OwnerBinding>},
     {"unfinished", Bound<UnfinishedBinding>},
+    {"explain_limit", Bound<ExplainLimitBinding>},
     {"refusals", Bound<RefusalsBinding>},
     {"failed", Bound<CountBinding<&RequestCounts::failed>>},
 };
