Hold an upstream at its cold limit until a report follows a lost connection

Cause: when an engine crashed, its owner handed the freed slots to waiting requests up to the warm limit before a load report showed the new incarnation. A lost connection also makes the owner ask for a report at once.

--- a/scenarios/engine_crashes_under_load.lua
+++ b/scenarios/engine_crashes_under_load.lua
@@ -5,7 +5,7 @@
 advance("10s")
 send{count=1600, chats=3000, over="10s"}
 advance("12s")
-send{count=12000, chats=3000, over="40s"}
+send{count=18000, chats=3000, over="40s"}
 advance("10s")
 crash_engine("engine-1", "50ms")
 advance("5s")
--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -270,8 +270,18 @@
   }
 }
 
-std::int32_t FreeSlots(const RouterState& state, const DomainUpstreamRow& row, TimePoint now) {
+// The limit of an upstream that may have restarted is its cold limit: requests
+// that waited for its slots would otherwise all reach the new process.
+std::int32_t LimitNow(const RouterState& state, const DomainUpstreamRow& row) {
   const std::int32_t limit = placement::UpstreamLimit(state.placement, row.index);
+  const bool is_confirmed = row.kind == UpstreamKind::kPlainService ||
+                            row.connection_lost_at == TimePoint::min() ||
+                            row.load.report_asked_at > row.connection_lost_at;
+  return is_confirmed ? limit : std::min(limit, state.placement.cold_start[row.index].base_limit);
+}
+
+std::int32_t FreeSlots(const RouterState& state, const DomainUpstreamRow& row, TimePoint now) {
+  const std::int32_t limit = LimitNow(state, row);
   const auto allowance = ownership::AllowedInFlight(state.ownership, row.key, limit, now);
   return allowance.limit - ownership::InFlight(state.ownership, row.key);
 }
@@ -662,6 +672,8 @@
   }
   if (end.connection_lost) {
     row.lost.push_back({end.fingerprint, now});
+    row.connection_lost_at = now;
+    row.next_report = now;
   }
   if (end.succeeded) {
     admission::NoteRunTime(row.queue, end.priority, end.run_time);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -64,6 +64,9 @@
   std::uint64_t service_sequence = 0;
   std::vector<outcomes::Fingerprint> in_flight;
   std::vector<LostRequest> lost;
+  // When a connection with a request in flight was last lost. Until a load report
+  // that was asked for later, the upstream may have restarted.
+  TimePoint connection_lost_at = TimePoint::min();
   std::uint32_t failed_reports = 0;  // since the last one that arrived
   bool report_pending = false;
   TimePoint next_report = TimePoint::min();
