--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -270,21 +270,33 @@
   }
 }
 
-std::int32_t FreeSlots(const RouterState& state, const DomainUpstreamRow& row, TimePoint now) {
+// The limit of an upstream that may have restarted is its cold limit: requests
+// that waited for its slots would otherwise all reach the new process.
+std::int32_t LimitNow(const RouterState& state, const DomainUpstreamRow& row) {
   const std::int32_t limit = placement::UpstreamLimit(state.placement, row.index);
+  const bool is_confirmed = row.kind == UpstreamKind::kPlainService ||
+                            row.connection_lost_at == TimePoint::min() ||
+                            row.load.report_asked_at > row.connection_lost_at;
+  return is_confirmed ? limit : std::min(limit, state.placement.cold_start[row.index].base_limit);
+}
+
+std::int32_t FreeSlots(const RouterState& state, const DomainUpstreamRow& row, TimePoint now) {
+  const std::int32_t limit = LimitNow(state, row);
   const auto allowance = ownership::AllowedInFlight(state.ownership, row.key, limit, now);
   return allowance.limit - ownership::InFlight(state.ownership, row.key);
 }
 
-// Whether this router can expect to dispatch to the upstream soon.
-bool MayDispatch(const RouterState& state, const DomainUpstreamRow& row, TimePoint now) {
+// Whether the router may queue requests at the upstream: it holds the lease or
+// may use its reserve.
+bool MayQueue(const RouterState& state, const DomainUpstreamRow& row, TimePoint now) {
   using ownership::AllowanceBasis;
   const AllowanceBasis basis = ownership::AllowedInFlight(state.ownership, row.key, 1, now).basis;
   return basis != AllowanceBasis::kNoLease && basis != AllowanceBasis::kReleasing &&
          basis != AllowanceBasis::kUnknownUpstream;
 }
 
-// Hands free slots of one upstream to waiting requests.
+// Hands free slots of one upstream to waiting requests. Without a lease they are
+// refused, so that the entry router places them at the new owner.
 void PumpQueue(RouterState& state, DomainUpstreamRow& row, TickOutput& output, TimePoint now) {
   if (row.queue.waiting.empty()) {
     return;
@@ -294,8 +306,7 @@
                admission::RefuseAll(row.queue, admission::RefusalCode::kDomainOutOfService));
     return;
   }
-  if (!MayDispatch(state, row, now)) {
-    // The entry routers place these requests at the new owner.
+  if (!MayQueue(state, row, now)) {
     AppendShed(output, row.id, admission::RefuseAll(row.queue, admission::RefusalCode::kNotOwner));
     return;
   }
@@ -464,6 +475,20 @@
                         asked_at);
 }
 
+// Whether the router may be the owner of an upstream of its domain. Routers of
+// other domains send heartbeats to few random members, so their silence for a
+// few seconds says nothing; the platform's list tells when they are gone.
+bool MayOwn(const RouterState& state, const fleet::RouterMember& router, TimePoint now) {
+  if (router.id == state.identity.id) {
+    return !state.draining;
+  }
+  if (router.failure_domain == state.identity.failure_domain) {
+    return fleet::IsCandidate(state.membership, router, now);
+  }
+  const bool may_serve = !router.last_heard || router.state == fleet::RouterState::kServing;
+  return router.member && !router.leaving && may_serve && now >= router.flaps.damped_until;
+}
+
 }  // namespace
 
 std::unique_ptr<RouterState> MakeRouterState(const RouterIdentity& identity,
@@ -593,7 +618,7 @@
     return output;
   }
   DomainUpstreamRow& row = found->second;
-  if (!MayDispatch(state, row, now)) {
+  if (!MayQueue(state, row, now)) {
     refuse(admission::RefusalCode::kNotOwner);
     return output;
   }
@@ -647,6 +672,8 @@
   }
   if (end.connection_lost) {
     row.lost.push_back({end.fingerprint, now});
+    row.connection_lost_at = now;
+    row.next_report = now;
   }
   if (end.succeeded) {
     admission::NoteRunTime(row.queue, end.priority, end.run_time);
@@ -672,10 +699,7 @@
   }
   std::vector<ownership::RouterKey> candidates;
   for (const fleet::RouterMember& router : state.membership.routers) {
-    const bool is_self = router.id == state.identity.id;
-    const bool is_candidate =
-        is_self ? !state.draining : fleet::IsCandidate(state.membership, router, now);
-    if (router.failure_domain == member->failure_domain && is_candidate) {
+    if (router.failure_domain == member->failure_domain && MayOwn(state, router, now)) {
       candidates.push_back(ownership::MakeRouterKey(router.id));
     }
   }
