Apply the cold limit when a router dispatches on its reserve

Cause: placement counted an upstream as owned only while the lease was held, so a router on its reserve took its share of the warm capacity instead of the cold limit. Growth on the reserve, or kept from an earlier lease, had the same effect. A router on its reserve now starts from the cold limit and doesn't raise it.

--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -295,12 +295,26 @@
          basis != AllowanceBasis::kUnknownUpstream;
 }
 
+// A router on its reserve needs the cold limit as well. What the limit grew to
+// under a lease is not kept for the reserve, nor the other way round: the
+// lease may be at another router, where the upstream starts cold.
+void UpdateOwned(RouterState& state, DomainUpstreamRow& row, TimePoint now) {
+  const bool has_lease = ownership::HoldsLease(state.ownership, row.key, now);
+  const bool on_reserve = !has_lease && MayQueue(state, row, now);
+  if (on_reserve != row.on_reserve) {
+    placement::SetOwned(state.placement, row.index, false);
+  }
+  row.on_reserve = on_reserve;
+  placement::SetOwned(state.placement, row.index, has_lease || on_reserve);
+}
+
 // Hands free slots of one upstream to waiting requests. Without a lease they are
 // refused, so that the entry router places them at the new owner.
 void PumpQueue(RouterState& state, DomainUpstreamRow& row, TickOutput& output, TimePoint now) {
   if (row.queue.waiting.empty()) {
     return;
   }
+  UpdateOwned(state, row, now);
   if (!placement::AcceptsNewWork(state.placement, row.index)) {
     AppendShed(output, row.id,
                admission::RefuseAll(row.queue, admission::RefusalCode::kDomainOutOfService));
@@ -329,8 +343,7 @@
     if (row.index == placement::kNoUpstream) {
       continue;
     }
-    placement::SetOwned(state.placement, row.index,
-                        ownership::HoldsLease(state.ownership, row.key, now));
+    UpdateOwned(state, row, now);
     const std::int32_t limit = placement::UpstreamLimit(state.placement, row.index);
     admission::SetSlots(row.queue, static_cast<std::uint32_t>(std::max(limit, 1)));
     AppendShed(output, id, admission::ExpireQueued(row.queue, now));
@@ -677,7 +690,9 @@
   }
   if (end.succeeded) {
     admission::NoteRunTime(row.queue, end.priority, end.run_time);
-    placement::NoteSuccess(state.placement, row.index, end.cold_epoch);
+    if (!end.token.on_reserve) {
+      placement::NoteSuccess(state.placement, row.index, end.cold_epoch);
+    }
     outcomes::NoteCompleted(state.quarantine, end.fingerprint);
   }
   PumpQueue(state, row, output, now);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -67,6 +67,7 @@
   // When a connection with a request in flight was last lost. Until a load report
   // that was asked for later, the upstream may have restarted.
   TimePoint connection_lost_at = TimePoint::min();
+  bool on_reserve = false;  // dispatches without a lease
   std::uint32_t failed_reports = 0;  // since the last one that arrived
   bool report_pending = false;
   TimePoint next_report = TimePoint::min();
