--- a/src/scenario/internal/engines.cc
+++ b/src/scenario/internal/engines.cc
@@ -68,9 +68,10 @@
   }
 }
 
-void NoteEnd(const Fleet& fleet, Upstream& upstream) {
+void NoteEnd(const Fleet& fleet, Upstream& upstream, TimePoint started) {
   --upstream.running;
-  if (upstream.cold && ++upstream.finished_cold >= fleet.options.cold_limit) {
+  const bool counts = upstream.cold && started >= upstream.cold_since;
+  if (counts && ++upstream.finished_cold >= fleet.options.cold_limit) {
     upstream.cold = false;
   }
 }
@@ -85,7 +86,7 @@
   if (upstream.incarnation != incarnation) {
     return;  // ended by the crash
   }
-  NoteEnd(fleet, upstream);
+  NoteEnd(fleet, upstream, run.started);
   const std::size_t owner = run.owner;
   const RouterNode& node = fleet.routers[owner];
   if (!node.state || node.identity.incarnation != run.owner_incarnation) {
--- a/src/scenario/internal/fleet.cc
+++ b/src/scenario/internal/fleet.cc
@@ -149,7 +149,7 @@
   });
 }
 
-void CarryOut(Fleet& fleet, std::size_t router, router::TickOutput output) {
+void CarryOut(Fleet& fleet, std::size_t router, const router::TickOutput& output) {
   NoteVersion(fleet, fleet.routers[router]);
   for (const fleet::OutgoingMessage& message : output.messages) {
     SendMessage(fleet, router, message);
--- a/src/scenario/internal/fleet_internal.h
+++ b/src/scenario/internal/fleet_internal.h
@@ -27,7 +27,7 @@
                   Duration delay,
                   std::function<void(RouterNode&)> action);
 // Sends messages, calls and reports, and passes queue results on.
-void CarryOut(Fleet& fleet, std::size_t router, router::TickOutput output);
+void CarryOut(Fleet& fleet, std::size_t router, const router::TickOutput& output);
 
 // --- Names and links ---
 
