Send orders to engines from the owner router

The orders core was not used by the router. Once a second the router now computes the desired state of the engines that it owns and sends POST /orders where a load report differs. The lease sequence of the fencing token comes from the wall clock, which TickRouter takes as a parameter. The connection and the write have to end before the lease does.

end_to_end_test and the new orders_end_to_end_test share one fixture; each has a port range of its own because ctest may run them at the same time.

--- a/src/ownership/internal/allowance.cc
+++ b/src/ownership/internal/allowance.cc
@@ -192,6 +192,16 @@
          now < owned->lease_until - state.settings.dispatch_guard;
 }
 
+std::optional<TimePoint> LeaseExpiry(const OwnershipState& state,
+                                     UpstreamKey upstream,
+                                     TimePoint now) {
+  if (!HoldsLease(state, upstream, now)) {
+    return std::nullopt;
+  }
+  const OwnedUpstream* owned = detail::FindOwned(state.owner, upstream);
+  return std::min(owned->lease_until, owned->release_at.value_or(TimePoint::max()));
+}
+
 Allowance AllowedInFlight(const OwnershipState& state,
                           UpstreamKey upstream,
                           std::int32_t limit,
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -221,6 +221,11 @@
 // Whether this router holds the lease and may send orders. The growth of a cold
 // limit counts successes only while this holds.
 bool HoldsLease(const OwnershipState& state, UpstreamKey upstream, TimePoint now);
+// When this router's lease ends by its own clock, or is given up earlier by a
+// hand-over that has begun. Empty when HoldsLease is false.
+std::optional<TimePoint> LeaseExpiry(const OwnershipState& state,
+                                     UpstreamKey upstream,
+                                     TimePoint now);
 
 // Accounts a request that AllowedInFlight permitted. The token goes to NoteFinish.
 DispatchToken NoteDispatch(OwnershipState& state, UpstreamKey upstream, TimePoint now);
--- /dev/null
+++ b/src/router/internal/order_sender.cc
@@ -0,0 +1,105 @@
+#include "router/internal/order_sender.h"
+
+#include <algorithm>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "observability/log.h"
+#include "router/internal/engine_orders.h"
+
+namespace geraniumspread::router::detail {
+namespace {
+
+using engines::OrderAnswer;
+using observability::LogLevel;
+
+constexpr std::size_t kMaxOrderAnswerBytes = 4096;
+
+transport::HttpRequest ToHttp(const engines::OrderCommand& command) {
+  const boost::json::object body = {{"fence", command.fence.token},
+                                    {"model", command.state.model},
+                                    {"adapter", command.state.adapter},
+                                    {"version", command.state.version},
+                                    {"role", command.state.role}};
+  transport::HttpRequest request("POST", "/orders", {}, boost::json::serialize(body));
+  transport::SetHeader(request.headers, "Content-Type", "application/json");
+  return request;
+}
+
+// Connecting and writing end by `send_before`, so that no byte leaves after the
+// lease even when a connection has to be opened first.
+transport::ExchangeTimeouts TimeoutsOf(const RouterContext& context,
+                                       const engines::OrderCommand& command,
+                                       TimePoint now) {
+  const Duration half = (command.send_before - now) / 2;
+  transport::ExchangeTimeouts timeouts;
+  timeouts.connect = std::min(context.settings.upstreams.connect_timeout, half);
+  timeouts.write = std::min(timeouts.write, half);
+  const Duration answer = context.state->engine_orders.table.settings.answer_timeout;
+  timeouts.first_byte = answer;
+  timeouts.between_bytes = answer;
+  return timeouts;
+}
+
+OrderAnswer ToAnswer(const transport::Result<transport::HttpResponse>& response) {
+  if (!response) {
+    return OrderAnswer::kLost;
+  }
+  switch (response.value().status) {
+    case 200:
+      return OrderAnswer::kAccepted;
+    case 409:
+      return OrderAnswer::kOldFence;
+    default:
+      return OrderAnswer::kLost;
+  }
+}
+
+std::string_view ResultName(OrderAnswer answer) {
+  switch (answer) {
+    case OrderAnswer::kAccepted:
+      return "accepted";
+    case OrderAnswer::kOldFence:
+      return "old_fence";
+    case OrderAnswer::kLost:
+      break;
+  }
+  return "lost";
+}
+
+void RecordAnswer(RouterContext& context,
+                  const engines::OrderCommand& command,
+                  OrderAnswer answer,
+                  std::string_view result) {
+  engines::HandleOrderAnswer(context.state->engine_orders.table, command, answer,
+                             RuntimeClock::now());
+  context.metrics.Count("geranium_orders_total", {{"result", std::string(result)}});
+  observability::LogEvent(answer == OrderAnswer::kAccepted ? LogLevel::kInfo : LogLevel::kWarn,
+                          "engine_ordered",
+                          {{"engine", command.engine},
+                           {"fence", command.fence.token},
+                           {"config_version", command.config_version},
+                           {"model", command.state.model},
+                           {"adapter", command.state.adapter},
+                           {"model_version", command.state.version},
+                           {"role", command.state.role},
+                           {"result", result}});
+}
+
+}  // namespace
+
+boost::asio::awaitable<void> SendOrder(RouterContext& context, engines::OrderCommand command) {
+  const TimePoint now = RuntimeClock::now();
+  if (!MayWriteOrder(*context.state, command, now)) {
+    RecordAnswer(context, command, OrderAnswer::kLost, "withheld");
+    co_return;
+  }
+  const transport::Endpoint endpoint = context.state->upstreams.at(command.engine).endpoint;
+  const auto response =
+      co_await transport::Fetch(context.connections, endpoint, ToHttp(command),
+                                TimeoutsOf(context, command, now), kMaxOrderAnswerBytes);
+  const OrderAnswer answer = ToAnswer(response);
+  RecordAnswer(context, command, answer, ResultName(answer));
+}
+
+}  // namespace geraniumspread::router::detail
--- a/src/router/internal/router.cc
+++ b/src/router/internal/router.cc
@@ -141,7 +141,8 @@
   boost::asio::awaitable<void> RunTicks() {
     Timer timer(this->io.get_executor());
     while (true) {
-      CarryOut(this->context, TickRouter(*this->context.state, RuntimeClock::now()));
+      CarryOut(this->context, TickRouter(*this->context.state, RuntimeClock::now(),
+                                         std::chrono::system_clock::now()));
       timer.expires_after(kTickPeriod);
       co_await timer.async_wait(kAwaitTuple);
     }
--- a/src/router/internal/router_context.cc
+++ b/src/router/internal/router_context.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "observability/log.h"
+#include "router/internal/order_sender.h"
 #include "router/internal/platform_link.h"
 
 namespace geraniumspread::router::detail {
@@ -57,6 +58,9 @@
     boost::asio::co_spawn(context.executor, FetchLoadReport(context, report),
                           boost::asio::detached);
   }
+  for (const engines::OrderCommand& order : output.orders) {
+    boost::asio::co_spawn(context.executor, SendOrder(context, order), boost::asio::detached);
+  }
   for (const QueueResult& result : output.queue_results) {
     ResolveWaiter(context, result);
   }
--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "common/hash.h"
+#include "router/internal/engine_orders.h"
 #include "router/internal/lease_messages.h"
 
 namespace geraniumspread::router {
@@ -492,7 +493,9 @@
   return state;
 }
 
-TickOutput TickRouter(RouterState& state, TimePoint now) {
+TickOutput TickRouter(RouterState& state,
+                      TimePoint now,
+                      std::chrono::system_clock::time_point wall_time) {
   TickOutput output;
   fleet::ExpireMembers(state.membership, now);
   const bool serving = IsServing(state, now);
@@ -510,6 +513,7 @@
   admission::TickWorkspaceLimits(state.limits, now);
   RequestReports(state, output, now);
   TickQueues(state, output, now);
+  output.orders = detail::TickEngineOrders(state, now, wall_time);
   outcomes::TickTickets(state.tickets, now);
   outcomes::TickSuccessors(state.successors, now);
   outcomes::TickQuarantine(state.quarantine, now);
--- a/src/router/internal/status_page.cc
+++ b/src/router/internal/status_page.cc
@@ -80,6 +80,15 @@
   return response;
 }
 
+void SetOrderGauges(observability::Metrics& metrics, const engines::Orders& orders) {
+  std::uint64_t corrections = 0;
+  for (const auto& [engine, progress] : orders.engines) {
+    corrections += progress.corrections;
+  }
+  metrics.SetGauge("geranium_order_corrections", static_cast<double>(corrections));
+  metrics.SetGauge("geranium_order_fence_overflows", static_cast<double>(orders.fence_overflows));
+}
+
 void RefreshGauges(RouterContext& context, TimePoint now) {
   const RouterState& state = *context.state;
   std::int64_t queued = 0;
@@ -96,6 +105,7 @@
   metrics.SetGauge("geranium_upstream_in_flight_requests", static_cast<double>(in_flight));
   metrics.SetGauge("geranium_owned_upstreams", static_cast<double>(owned));
   metrics.SetGauge("geranium_upstream_deaths", static_cast<double>(state.upstream_deaths));
+  SetOrderGauges(metrics, state.engine_orders.table);
   metrics.SetGauge("geranium_config_alarms", static_cast<double>(state.store.alarms.size()));
   metrics.SetGauge("geranium_tickets_in_use", static_cast<double>(state.tickets.entries.size()));
   metrics.SetGauge("geranium_control_frames_dropped",
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -14,6 +14,7 @@
 #include "common/runtime_clock.h"
 #include "config/config_store.h"
 #include "engines/load_reports.h"
+#include "engines/orders.h"
 #include "fleet/gossip.h"
 #include "fleet/membership.h"
 #include "fleet/peer_codec.h"
@@ -91,9 +92,17 @@
   std::vector<fleet::ServiceCall> service_calls;
   std::vector<QueueResult> queue_results;
   std::vector<ReportRequest> reports;
+  std::vector<engines::OrderCommand> orders;
   bool config_changed = false;
 };
 
+// Orders to the engines that this router owns.
+struct EngineOrders {
+  engines::Orders table;
+  std::uint64_t lease_sequence = 0;  // highest one used by this process
+  TimePoint next_tick = TimePoint::min();
+};
+
 struct RouterState {
   RouterIdentity identity;
   RouterStateOptions options;
@@ -112,6 +121,7 @@
   outcomes::SuccessorTable successors;
   outcomes::QuarantineTable quarantine;
   std::unordered_map<std::string, DomainUpstreamRow> upstreams;
+  EngineOrders engine_orders;
   std::unordered_map<std::uint64_t, std::string> router_ids;  // by ownership::RouterKey
   std::uint64_t last_handle = 0;
   std::uint64_t upstream_deaths = 0;
@@ -125,8 +135,11 @@
                                              const RouterStateOptions& options,
                                              TimePoint now);
 
-// Runs all systems once. Call every 20 to 50 ms.
-TickOutput TickRouter(RouterState& state, TimePoint now);
+// Runs all systems once. Call every 20 to 50 ms. `wall_time` is the system time,
+// which the fencing tokens of orders come from.
+TickOutput TickRouter(RouterState& state,
+                      TimePoint now,
+                      std::chrono::system_clock::time_point wall_time);
 
 // --- Events ---
 
--- /dev/null
+++ b/src/router/tests/orders_end_to_end_test.cc
@@ -0,0 +1,117 @@
+#include <boost/json/parse.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "router/tests/deployment_fixture.h"
+
+namespace geraniumspread::router {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using transport::Endpoint;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+constexpr std::string_view kConfiguredVersion = "1";
+constexpr std::string_view kConfiguredRole = "generate";
+constexpr std::string_view kUnfencedEngine = "e2";
+// Longer than the settle time of an order, shorter than the limit of a run.
+constexpr Duration kLongestWait = std::chrono::seconds(90);
+
+struct OrdersDeployment : Deployment {
+  OrdersDeployment()
+      : Deployment({.first_port = 17000, .engine_without_fencing = std::string(kUnfencedEngine)}) {}
+
+  Endpoint EngineEndpoint(std::size_t engine) const {
+    return this->platform.engines[engine].endpoint;
+  }
+
+  asio::awaitable<HttpResponse> SendToEngine(std::size_t engine, HttpRequest request) {
+    const auto response =
+        co_await transport::Fetch(this->pool, this->EngineEndpoint(engine), std::move(request),
+                                  transport::ExchangeTimeouts{}, kMaxBody);
+    BOOST_REQUIRE(response.has_value());
+    co_return response.value();
+  }
+
+  asio::awaitable<json::value> Report(std::size_t engine) {
+    const HttpResponse response = co_await this->SendToEngine(engine, HttpRequest("GET", "/load"));
+    co_return json::parse(response.body);
+  }
+
+  // Waits until the engine reports the version; returns the last report.
+  asio::awaitable<json::value> WaitForVersion(std::size_t engine, std::string_view version) {
+    RuntimeTimer timer(this->io);
+    const TimePoint give_up = RuntimeClock::now() + kLongestWait;
+    json::value report = co_await this->Report(engine);
+    while (report.at("version").as_string() != version && RuntimeClock::now() < give_up) {
+      timer.expires_after(std::chrono::milliseconds(200));
+      co_await timer.async_wait(asio::use_awaitable);
+      report = co_await this->Report(engine);
+    }
+    co_return report;
+  }
+
+  // Sums a counter over both routers.
+  asio::awaitable<double> OrdersCounted(std::string_view result) {
+    const std::string line = "geranium_orders_total{result=\"" + std::string(result) + "\"} ";
+    double sum = 0;
+    for (std::size_t router = 0; router < this->routers.size(); ++router) {
+      const HttpResponse metrics = co_await this->Send(router, HttpRequest("GET", "/metrics"));
+      if (const auto at = metrics.body.find(line); at != std::string::npos) {
+        sum += std::stod(metrics.body.substr(at + line.size()));
+      }
+    }
+    co_return sum;
+  }
+};
+
+// An order of an owner that lost its lease long ago and never noticed.
+HttpRequest LateOrder() {
+  return HttpRequest("POST", "/orders", {},
+                     R"({"fence":1,"model":"m","adapter":"","version":"0","role":"generate"})");
+}
+
+// Guards against engines that keep serving a version or role that the
+// configuration does not name, and against an order that is repeated although
+// the engine obeyed it.
+BOOST_FIXTURE_TEST_CASE(EngineWithAnotherVersionIsOrderedToTheConfiguredOne, OrdersDeployment) {
+  this->Run([](OrdersDeployment& deployment) -> asio::awaitable<void> {
+    for (const std::size_t engine : {0U, 1U}) {
+      const json::value before = co_await deployment.Report(engine);
+      BOOST_REQUIRE(before.at("version").as_string() != kConfiguredVersion);
+      BOOST_REQUIRE(before.at("role").as_string() != kConfiguredRole);
+    }
+    for (const std::size_t engine : {0U, 1U}) {
+      const json::value after = co_await deployment.WaitForVersion(engine, kConfiguredVersion);
+      BOOST_TEST(after.at("version").as_string() == kConfiguredVersion);
+      BOOST_TEST(after.at("role").as_string() == kConfiguredRole);
+    }
+    BOOST_TEST(co_await deployment.OrdersCounted("accepted") == 2);
+  }(*this));
+}
+
+// Guards against an old order that undoes a newer one: an engine with fencing
+// refuses it, because the router's order carried a higher token; on an engine
+// without fencing the owner reads the state back and corrects it.
+BOOST_FIXTURE_TEST_CASE(LateOrderIsRefusedOrCorrected, OrdersDeployment) {
+  this->Run([](OrdersDeployment& deployment) -> asio::awaitable<void> {
+    for (const std::size_t engine : {0U, 1U}) {
+      co_await deployment.WaitForVersion(engine, kConfiguredVersion);
+    }
+    const HttpResponse fenced = co_await deployment.SendToEngine(0, LateOrder());
+    BOOST_TEST(fenced.status == 409);
+    const HttpResponse unfenced = co_await deployment.SendToEngine(1, LateOrder());
+    BOOST_TEST(unfenced.status == 200);
+    const json::value undone = co_await deployment.WaitForVersion(1, "0");
+    BOOST_TEST(undone.at("version").as_string() == "0");
+    const json::value corrected = co_await deployment.WaitForVersion(1, kConfiguredVersion);
+    BOOST_TEST(corrected.at("version").as_string() == kConfiguredVersion);
+    const json::value untouched = co_await deployment.Report(0);
+    BOOST_TEST(untouched.at("version").as_string() == kConfiguredVersion);
+    BOOST_TEST(co_await deployment.OrdersCounted("accepted") == 3);
+  }(*this));
+}
+
+}  // namespace
+}  // namespace geraniumspread::router
