Test late orders with the fence of the configuration in force

The late order had a fence of 1, which any configuration version exceeds, so the test did not depend on the lease sequence. Engines of the test carry an order out for longer than the answer timeout, so an answer that is not recorded shows as a second order.

--- a/src/router/tests/deployment_fixture.h
+++ b/src/router/tests/deployment_fixture.h
@@ -46,6 +46,7 @@
   // that is free when it is probed is opened only later.
   std::uint16_t first_port = 16000;
   std::string engine_without_fencing;  // id of an engine that ignores fencing
+  Duration order_time = standin::EngineSettings().order_time;
 };
 
 struct Deployment {
@@ -108,6 +109,7 @@
       engine.engine.id = id;
       engine.engine.model = "m";
       engine.engine.ignores_fencing = id == this->options.engine_without_fencing;
+      engine.engine.order_time = this->options.order_time;
       engine.pool = "p";
       engine.failure_domain = "a";
       engine.endpoint = transport::FreeEndpoint(this->io, this->options.first_port);
--- a/src/router/tests/orders_end_to_end_test.cc
+++ b/src/router/tests/orders_end_to_end_test.cc
@@ -1,6 +1,8 @@
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "engines/orders.h"
 #include "router/tests/deployment_fixture.h"
 
 namespace geraniumspread::router {
@@ -12,15 +14,20 @@
 using transport::HttpRequest;
 using transport::HttpResponse;
 
+constexpr std::uint64_t kConfigVersion = 1;
 constexpr std::string_view kConfiguredVersion = "1";
 constexpr std::string_view kConfiguredRole = "generate";
 constexpr std::string_view kUnfencedEngine = "e2";
+// Longer than the time after which an order without an answer is sent again.
+constexpr Duration kOrderTime = std::chrono::seconds(8);
 // Longer than the settle time of an order, shorter than the limit of a run.
 constexpr Duration kLongestWait = std::chrono::seconds(90);
 
 struct OrdersDeployment : Deployment {
   OrdersDeployment()
-      : Deployment({.first_port = 17000, .engine_without_fencing = std::string(kUnfencedEngine)}) {}
+      : Deployment({.first_port = 17000,
+                    .engine_without_fencing = std::string(kUnfencedEngine),
+                    .order_time = kOrderTime}) {}
 
   Endpoint EngineEndpoint(std::size_t engine) const {
     return this->platform.engines[engine].endpoint;
@@ -66,15 +73,22 @@
   }
 };
 
-// An order of an owner that lost its lease long ago and never noticed.
+// An order of an owner that lost its lease long ago and never noticed: made from
+// the configuration in force, with a low lease sequence.
 HttpRequest LateOrder() {
-  return HttpRequest("POST", "/orders", {},
-                     R"({"fence":1,"model":"m","adapter":"","version":"0","role":"generate"})");
+  const auto fence = engines::MakeFence(kConfigVersion, 1);
+  BOOST_REQUIRE(fence.has_value());
+  const json::object body = {{"fence", fence.value().token},
+                             {"model", "m"},
+                             {"adapter", ""},
+                             {"version", "0"},
+                             {"role", kConfiguredRole}};
+  return HttpRequest("POST", "/orders", {}, json::serialize(body));
 }
 
 // Guards against engines that keep serving a version or role that the
-// configuration does not name, and against an order that is repeated although
-// the engine obeyed it.
+// configuration does not name, and against an accepted order that is repeated
+// while the engine still carries it out.
 BOOST_FIXTURE_TEST_CASE(EngineWithAnotherVersionIsOrderedToTheConfiguredOne, OrdersDeployment) {
   this->Run([](OrdersDeployment& deployment) -> asio::awaitable<void> {
     for (const std::size_t engine : {0U, 1U}) {
