Test that the lease sequence never shrinks; clear findings in the fixture

A system clock that is set back must not lower the fencing token of an owner, or engines refuse its orders. The fixture keeps the platform's endpoints as members, which the linter can follow.

--- a/src/router/tests/deployment_fixture.h
+++ b/src/router/tests/deployment_fixture.h
@@ -56,6 +56,8 @@
   std::filesystem::path folder;
   transport::HttpConnectionPool pool{io.get_executor()};
   standin::PlatformSettings platform;
+  transport::Endpoint config_service;
+  transport::Endpoint instance_list;
   std::optional<standin::StandinHost> host;
   std::vector<settings::RouterSettings> router_settings;
   std::vector<std::unique_ptr<Router>> routers;
@@ -85,7 +87,7 @@
   void WriteConfiguration() const {
     const auto sheet = config::ParseSheet(kSheet);
     BOOST_REQUIRE(sheet.configuration.has_value());
-    config::Configuration configuration = *sheet.configuration;
+    config::Configuration configuration = sheet.configuration.value_or(config::Configuration());
     configuration.version = 1;
     const auto compiled = config::Compile(configuration);
     BOOST_REQUIRE(compiled.has_value());
@@ -97,13 +99,15 @@
   }
 
   void AddPlatform() {
-    standin::ConfigServiceSettings config_service;
-    config_service.endpoint = transport::FreeEndpoint(this->io, this->options.first_port);
-    config_service.folder = this->folder.string();
-    this->platform.config_service = config_service;
-    standin::InstanceListSettings list;
-    list.endpoint = transport::FreeEndpoint(this->io, this->options.first_port);
-    this->platform.instance_list = list;
+    this->config_service = transport::FreeEndpoint(this->io, this->options.first_port);
+    standin::ConfigServiceSettings service_settings;
+    service_settings.endpoint = this->config_service;
+    service_settings.folder = this->folder.string();
+    this->platform.config_service = service_settings;
+    this->instance_list = transport::FreeEndpoint(this->io, this->options.first_port);
+    standin::InstanceListSettings list_settings;
+    list_settings.endpoint = this->instance_list;
+    this->platform.instance_list = list_settings;
     for (const std::string id : {"e1", "e2"}) {
       standin::HostedEngine engine;
       engine.engine.id = id;
@@ -129,10 +133,8 @@
     settings.listen.public_port = transport::FreeEndpoint(this->io, this->options.first_port).port;
     settings.listen.peer_port = transport::FreeEndpoint(this->io, this->options.first_port).port;
     settings.listen.control_port = transport::FreeEndpoint(this->io, this->options.first_port).port;
-    const auto& config_service = this->platform.config_service->endpoint;
-    const auto& list = this->platform.instance_list->endpoint;
-    settings.platform.config_service = {config_service.address, config_service.port};
-    settings.platform.instance_list = {list.address, list.port};
+    settings.platform.config_service = {this->config_service.address, this->config_service.port};
+    settings.platform.instance_list = {this->instance_list.address, this->instance_list.port};
     settings.shared_key = "0123456789abcdef";
     this->router_settings.push_back(settings);
     standin::ListedRouter listed;
--- a/src/router/tests/orders_end_to_end_test.cc
+++ b/src/router/tests/orders_end_to_end_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "engines/orders.h"
+#include "router/internal/engine_orders.h"
 #include "router/tests/deployment_fixture.h"
 
 namespace geraniumspread::router {
@@ -73,6 +74,23 @@
   }
 };
 
+// Guards against fencing tokens that shrink when the system clock is set back:
+// engines would refuse the orders of their owner.
+BOOST_AUTO_TEST_CASE(LeaseSequenceFollowsTheWallClockButNeverShrinks) {
+  const auto state = MakeRouterState({.id = "router-1", .failure_domain = "a"}, {}, TimePoint());
+  state->configuration = std::make_shared<config::Configuration>();
+  const auto sequence_at = [&](Duration since_start, std::chrono::seconds since_epoch) {
+    using namespace std::chrono;
+    detail::TickEngineOrders(*state, TimePoint(since_start),
+                             sys_days(2026y / January / 1) + since_epoch);
+    return state->engine_orders.lease_sequence;
+  };
+  BOOST_TEST(sequence_at(std::chrono::seconds(1), std::chrono::seconds(-3)) == 0);
+  BOOST_TEST(sequence_at(std::chrono::seconds(2), std::chrono::seconds(300)) == 100);
+  BOOST_TEST(sequence_at(std::chrono::seconds(3), std::chrono::seconds(30)) == 100);
+  BOOST_TEST(sequence_at(std::chrono::seconds(4), std::chrono::seconds(303)) == 101);
+}
+
 // An order of an owner that lost its lease long ago and never noticed: made from
 // the configuration in force, with a low lease sequence.
 HttpRequest LateOrder() {
