--- a/apps/geranium_bench/benches.h
+++ b/apps/geranium_bench/benches.h
@@ -7,7 +7,7 @@
 #include "fleet.h"
 #include "table.h"
 
-// The benchmarks. All but the decision times are exact functions of the seed.
+// The benchmarks. All but times and heap sizes are exact functions of the seed.
 namespace geraniumspread::bench {
 
 // Cache reuse, load skew and cold overshoot of all choosers under churn.
@@ -22,6 +22,12 @@
 // Lease control bytes of a node at several fleet sizes.
 Table MeasureLeaseBytes();
 
+// Heap, tick and heartbeat times of one router over upstreams, routers and workspaces.
+Table MeasureRouterState(std::uint64_t seed);
+
+// Heap and times of the workspace limits, configuration store, tickets and membership alone.
+Table MeasureTables(std::uint64_t seed);
+
 // Load of a cold upstream under local bounds, credits and ownership.
 Table MeasureColdLimitSchemes(std::uint64_t seed);
 
--- a/apps/geranium_bench/lease_bench.cc
+++ b/apps/geranium_bench/lease_bench.cc
@@ -260,7 +260,8 @@
                    "bytes/s a node", "busiest node",          "ownership state KiB"};
   for (const LeaseFleet& fleet :
        {LeaseFleet{6, 3, 12, seconds(3)}, LeaseFleet{8, 3, 20, seconds(3)},
-        LeaseFleet{64, 8, 453, seconds(10)}, LeaseFleet{410, 8, 2900, seconds(10)}}) {
+        LeaseFleet{64, 8, 453, seconds(10)}, LeaseFleet{104, 8, 736, seconds(10)},
+        LeaseFleet{208, 8, 1471, seconds(10)}, LeaseFleet{410, 8, 2900, seconds(10)}}) {
     AddLeaseRow(table, fleet);
   }
   return table;
--- a/apps/geranium_bench/main.cc
+++ b/apps/geranium_bench/main.cc
@@ -8,7 +8,10 @@
 
 DEFINE_uint64(seed, 1, "seed of all random draws");
 DEFINE_string(csv, "", "file for the results as CSV; none when empty");
-DEFINE_string(only, "", "run one part: reuse, moves, decisions, leases or schemes");
+DEFINE_string(only,
+              "",
+              "run one part: reuse, moves, decisions, leases, schemes, router or "
+              "tables");
 DEFINE_int32(deployment_minutes, 60, "simulated minutes of load for the two deployments");
 DEFINE_int32(design_minutes, 10, "simulated minutes of load for the design size");
 DEFINE_int32(decisions, 200000, "decisions timed at each fleet size");
@@ -42,6 +45,12 @@
   if (Runs("schemes")) {
     Emit(csv, MeasureColdLimitSchemes(FLAGS_seed));
   }
+  if (Runs("router")) {
+    Emit(csv, MeasureRouterState(FLAGS_seed));
+  }
+  if (Runs("tables")) {
+    Emit(csv, MeasureTables(FLAGS_seed));
+  }
   if (Runs("reuse")) {
     const auto minutes = std::chrono::minutes(FLAGS_deployment_minutes);
     Emit(csv, MeasureReuse(Crestline(), minutes, FLAGS_seed));
