Try another upstream before a request waits in a queue

Cause: an owner without a free slot queued every request, so chats waited at a hot engine beside idle ones. The owner now refuses (not run, upstream_at_limit) until the entry router has tried two other upstreams.

--- a/src/router/internal/attempt.cc
+++ b/src/router/internal/attempt.cc
@@ -224,7 +224,7 @@
                                             const AttemptPlan& plan,
                                             Cancellation& cancellation,
                                             Attempt& attempt) {
-  auto slot = co_await AcquireSlot(context, request, plan.upstream, cancellation);
+  auto slot = co_await AcquireSlot(context, request, plan.upstream, plan.is_final, cancellation);
   if (!slot) {
     attempt.refusal = slot.error();
     co_return;
--- a/src/router/internal/attempt.h
+++ b/src/router/internal/attempt.h
@@ -33,7 +33,7 @@
 struct AttemptPlan {
   std::string upstream;
   std::uint64_t resume_offset = 0;
-  // The owner shall not name another upstream.
+  // The owner shall queue the request and not name another upstream.
   bool is_final = false;
   transport::ConnectionPolicy policy = transport::ConnectionPolicy::kReuse;
 };
--- a/src/router/internal/request_run.cc
+++ b/src/router/internal/request_run.cc
@@ -17,6 +17,8 @@
 constexpr auto kAwaitTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 // Owners that refuse are passed over this often before the caller hears of it.
 constexpr std::uint32_t kMaxPlacements = 8;
+// After this many refusals a request waits in the queue of the next upstream.
+constexpr std::uint32_t kPlacementsBeforeWait = 2;
 // Leases move within this time after a router has gone; requests wait for it.
 constexpr Duration kPlacementPause = std::chrono::milliseconds(100);
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
@@ -38,8 +40,10 @@
                                                       TimePoint now) {
   using placement::Verdict;
   for (const auto& candidate : placement::ExplainChoice(context.state->placement, request, now)) {
-    if (candidate.verdict == Verdict::kAtLimit || candidate.verdict == Verdict::kAtColdLimit ||
-        candidate.verdict == Verdict::kAvailable || candidate.verdict == Verdict::kChosen) {
+    const bool is_usable = candidate.verdict != Verdict::kDomainOut &&
+                           candidate.verdict != Verdict::kDomainReturning &&
+                           candidate.verdict != Verdict::kLeaving;
+    if (is_usable) {
       return placement::PlacementChoice{.upstream = candidate.upstream,
                                         .first_choice = candidate.upstream,
                                         .home = context.state->own_domain};
@@ -48,16 +52,20 @@
   return std::nullopt;
 }
 
+// Sets `must_wait` when the request has to queue.
 std::optional<placement::PlacementChoice> Place(const RouterContext& context,
                                                 const placement::PlacementRequest& request,
-                                                TimePoint now) {
+                                                TimePoint now,
+                                                bool& must_wait) {
   const auto choice = placement::ChooseUpstream(context.state->placement, request, now);
   if (choice) {
     return choice.value();
   }
-  return choice.error().code == placement::PlacementErrorCode::kAllAtLimit
-             ? ChooseQueue(context, request, now)
-             : std::nullopt;
+  if (choice.error().code != placement::PlacementErrorCode::kAllAtLimit) {
+    return std::nullopt;
+  }
+  must_wait = true;
+  return ChooseQueue(context, request, now);
 }
 
 boost::asio::awaitable<void> Pause(RouterContext& context, RequestRun& run, Duration time) {
@@ -135,11 +143,11 @@
   }
 }
 
-AttemptPlan MakePlan(const RequestRun& run, std::string upstream) {
+AttemptPlan MakePlan(const RequestRun& run, std::string upstream, bool must_wait) {
   AttemptPlan plan;
   plan.upstream = std::move(upstream);
   plan.resume_offset = run.progress.next_offset;
-  plan.is_final = run.hint_followed;
+  plan.is_final = must_wait || run.hint_followed;
   const bool is_fresh =
       run.fresh_connection || run.request.request_class == outcomes::RequestClass::kNonRepeatable;
   plan.policy =
@@ -225,7 +233,8 @@
 boost::asio::awaitable<bool> TryOnce(RouterContext& context, RequestRun& run) {
   const TimePoint now = RuntimeClock::now();
   const placement::PlacementRequest where = ToPlacement(context, run.request);
-  const auto choice = Place(context, where, now);
+  bool must_wait = run.placements >= kPlacementsBeforeWait;
+  const auto choice = Place(context, where, now, must_wait);
   if (!choice) {
     Refuse(run, admission::RefusalCode::kNoUpstream);
     co_return true;
@@ -234,7 +243,7 @@
   attempt.upstream = placement::UpstreamName(context.state->placement, choice->upstream);
   const PlacedRequest placed(context, where, *choice);
   AnnouncePlacement(context, run.request, *choice);
-  co_await Open(context, run, MakePlan(run, attempt.upstream), attempt);
+  co_await Open(context, run, MakePlan(run, attempt.upstream, must_wait), attempt);
   if (FollowHint(context, run, where, attempt)) {
     co_return true;
   }
@@ -271,7 +280,10 @@
     if (!MayPlaceAgain(run)) {
       break;
     }
-    co_await Pause(context, run, kPlacementPause);
+    // Another upstream may have a free slot at once; everything else takes time.
+    if (run.last_refusal->code != admission::RefusalCode::kUpstreamAtLimit) {
+      co_await Pause(context, run, kPlacementPause);
+    }
   }
   if (run.answer || !run.last_refusal) {
     co_return;
--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -215,7 +215,8 @@
       elsewhere[load.pool] += load.in_flight;
     }
   }
-  for (placement::PoolIndex pool = 0; pool < state.placement.pools.size(); ++pool) {
+  for (std::size_t index = 0; index < state.placement.pools.size(); ++index) {
+    const auto pool = static_cast<placement::PoolIndex>(index);
     const std::string& name = state.placement.pools[pool].name;
     placement::SetInFlightElsewhere(state.placement, pool, elsewhere[name]);
     if (const std::int64_t own = placement::OwnedInFlight(state.placement, pool); own > 0) {
@@ -643,6 +644,10 @@
     refuse(admission::RefusalCode::kDomainOutOfService);
     return output;
   }
+  if (!request.may_wait && FreeSlots(state, row, now) <= 0) {
+    refuse(admission::RefusalCode::kUpstreamAtLimit);
+    return output;
+  }
   const admission::EnqueueDecision decision = admission::Enqueue(row.queue, request.queued, now);
   if (decision.shed) {
     AppendShed(output, row.id, {*decision.shed});
--- a/src/router/internal/slot_lease.cc
+++ b/src/router/internal/slot_lease.cc
@@ -53,11 +53,13 @@
     RouterContext& context,
     const CallerRequest& request,
     std::string upstream,
+    bool may_wait,
     Cancellation& cancellation) {
   const admission::RequestHandle handle = ++context.state->last_handle;
   WaiterEntry entry(context, handle);
   DispatchRequest dispatch;
   dispatch.upstream = upstream;
+  dispatch.may_wait = may_wait;
   dispatch.queued = {.request = handle,
                      .workspace = StableHash(request.workspace),
                      .priority = request.priority,
--- a/src/router/internal/slot_lease.h
+++ b/src/router/internal/slot_lease.h
@@ -38,6 +38,7 @@
     RouterContext& context,
     const CallerRequest& request,
     std::string upstream,
+    bool may_wait,
     Cancellation& cancellation);
 
 }  // namespace geraniumspread::router::detail
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -68,7 +68,7 @@
   // When a connection with a request in flight was last lost. Until a load report
   // that was asked for later, the upstream may have restarted.
   TimePoint connection_lost_at = TimePoint::min();
-  bool on_reserve = false;  // dispatches without a lease
+  bool on_reserve = false;           // dispatches without a lease
   std::uint32_t failed_reports = 0;  // since the last one that arrived
   bool report_pending = false;
   TimePoint next_report = TimePoint::min();
@@ -165,6 +165,9 @@
 struct DispatchRequest {
   std::string upstream;
   admission::QueuedRequest queued;
+  // Otherwise a request that finds no free slot is refused, and the entry router
+  // tries another upstream.
+  bool may_wait = true;
 };
 
 // Queues a request at an upstream of this domain. The result comes with the
--- a/src/scenario/internal/fleet.cc
+++ b/src/scenario/internal/fleet.cc
@@ -44,9 +44,17 @@
   }
 }
 
+// The system time of a scenario follows its own clock from a fixed day on.
+std::chrono::system_clock::time_point WallTime(const Fleet& fleet) {
+  using std::chrono::system_clock;
+  constexpr std::chrono::sys_days kFirstDay{std::chrono::year{2026} / 12 / 4};
+  return kFirstDay +
+         std::chrono::duration_cast<system_clock::duration>(fleet.now.time_since_epoch());
+}
+
 void Tick(Fleet& fleet, std::size_t router) {
   RouterNode& node = fleet.routers[router];
-  CarryOut(fleet, router, router::TickRouter(*node.state, fleet.now));
+  CarryOut(fleet, router, router::TickRouter(*node.state, fleet.now, WallTime(fleet)));
   PostToRouter(fleet, router, kTickPeriod, [&fleet, router](RouterNode&) { Tick(fleet, router); });
 }
 
