--- a/apps/geranium_bench/capacity_bench.cc
+++ b/apps/geranium_bench/capacity_bench.cc
@@ -72,6 +72,7 @@
   std::vector<std::string> fits{name, "fit"};
   for (std::size_t column = 1; column < rows.front().size(); ++column) {
     std::vector<Point> points;
+    points.reserve(rows.size());
     for (const std::vector<double>& row : rows) {
       points.push_back({row.front(), row[column]});
     }
