Test that a lease expiry ends with a hand-over

An order must not be sent on a lease that its owner is giving up. The comment on the timeouts of an order now says that a hand-over which starts while the connection is opened is left to fencing and the read-back.

--- a/src/ownership/tests/ownership_test.cc
+++ b/src/ownership/tests/ownership_test.cc
@@ -211,6 +211,20 @@
   BOOST_TEST(domain.AllowedAt(domain.Holder()).left_to_silent == 0);
 }
 
+// Guards against an order that is sent on a lease that is being handed over.
+BOOST_AUTO_TEST_CASE(LeaseExpiryEndsWithAHandover) {
+  FakeDomain domain(1, 2, {}, 9);
+  OwnershipState& state = domain.routers[0].state;
+  BOOST_TEST(!LeaseExpiry(state, domain.upstream, domain.now).has_value());
+  domain.Run(seconds(5));
+  const OwnedUpstream& owned = state.owner.upstreams.front();
+  BOOST_TEST((LeaseExpiry(state, domain.upstream, domain.now) == owned.lease_until));
+  NoteDispatch(state, domain.upstream, domain.now);
+  LeaveOwnership(state, domain.now);
+  BOOST_TEST((LeaseExpiry(state, domain.upstream, domain.now) ==
+              domain.now + domain.settings.dispatch_guard));
+}
+
 // Guards against a release that overtakes the owner's last dispatch.
 BOOST_AUTO_TEST_CASE(ReleaseWaitsForTheLastDispatch) {
   for (const bool guarded : {true, false}) {
--- a/src/router/internal/order_sender.cc
+++ b/src/router/internal/order_sender.cc
@@ -27,7 +27,8 @@
 }
 
 // Connecting and writing end by `send_before`, so that no byte leaves after the
-// lease even when a connection has to be opened first.
+// lease has expired even when a connection has to be opened first. A hand-over
+// that starts meanwhile is not seen; fencing or the read-back covers that.
 transport::ExchangeTimeouts TimeoutsOf(const RouterContext& context,
                                        const engines::OrderCommand& command,
                                        TimePoint now) {
