Sync membership without rebuilding pools, and use each pool's own settings

Cause: a sync after each heartbeat rebuilt the pool once for every upstream; the first pool's load multiple bounded all pools, and the cold limit of the sheet was never read, so an operator's decision had no effect. In large domains a router counts as silent after 10 s.

--- a/apps/geranium_bench/capacity_bench.cc
+++ b/apps/geranium_bench/capacity_bench.cc
@@ -24,6 +24,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::chrono::sys_days kWallTime{std::chrono::year{2026} / 12 / 4};
 constexpr int kDomains = 8;
 constexpr int kPools = 14;
 constexpr Duration kTick = milliseconds(25);  // as in the router
@@ -244,7 +245,7 @@
       total += is_measured ? spent : 0;
       heard = true;
     }
-    const double spent = MicrosecondsOf([&] { router::TickRouter(*state, now); });
+    const double spent = MicrosecondsOf([&] { router::TickRouter(*state, now, kWallTime); });
     if (is_measured) {
       (heard ? synced : quiet).push_back(spent);
       total += spent;
--- a/src/placement/internal/choice.cc
+++ b/src/placement/internal/choice.cc
@@ -214,9 +214,9 @@
   return too_busy ? Verdict::kSpillRefused : Verdict::kAvailable;
 }
 
-double MultipleFor(const PlacementState& state, bool has_history) {
-  return has_history ? state.settings.bound_multiple
-                     : std::min(state.settings.bound_multiple, state.settings.new_chat_multiple);
+double MultipleFor(const PlacementState& state, PoolIndex pool, bool has_history) {
+  const double multiple = BoundMultiple(state, pool);
+  return has_history ? multiple : std::min(multiple, state.settings.new_chat_multiple);
 }
 
 }  // namespace detail
@@ -227,12 +227,12 @@
   if (request.pool >= state.pools.size()) {
     return PlacementError{PlacementErrorCode::kUnknownPool, "the pool is unknown"};
   }
-  const double multiple = detail::MultipleFor(state, request.has_history);
+  const double multiple = detail::MultipleFor(state, request.pool, request.has_history);
   const auto choice = ChooseWithin(state, request, multiple, now);
   const bool all_at_lower_bound = !choice &&
                                   choice.error().code == PlacementErrorCode::kAllAtLimit &&
-                                  multiple < state.settings.bound_multiple;
-  return all_at_lower_bound ? ChooseWithin(state, request, state.settings.bound_multiple, now)
+                                  multiple < BoundMultiple(state, request.pool);
+  return all_at_lower_bound ? ChooseWithin(state, request, BoundMultiple(state, request.pool), now)
                             : choice;
 }
 
--- a/src/placement/internal/choice.h
+++ b/src/placement/internal/choice.h
@@ -23,7 +23,7 @@
 Verdict CheckLoad(const PlacementState& state, UpstreamIndex upstream, const LoadCheck& check);
 
 // The multiple of the load bound that holds for the request.
-double MultipleFor(const PlacementState& state, bool has_history);
+double MultipleFor(const PlacementState& state, PoolIndex pool, bool has_history);
 
 }  // namespace geraniumspread::placement::detail
 
--- a/src/placement/internal/explain.cc
+++ b/src/placement/internal/explain.cc
@@ -22,10 +22,11 @@
   if (!detail::ChatMayUse(state, row.domain, request.chat, now)) {
     return Verdict::kDomainReturning;
   }
-  const detail::LoadCheck check{.priority = request.priority,
-                                .multiple = detail::MultipleFor(state, request.has_history),
-                                .spill = row.domain != home,
-                                .now = now};
+  const detail::LoadCheck check{
+      .priority = request.priority,
+      .multiple = detail::MultipleFor(state, request.pool, request.has_history),
+      .spill = row.domain != home,
+      .now = now};
   return detail::CheckLoad(state, upstream, check);
 }
 
@@ -33,8 +34,8 @@
                               UpstreamIndex upstream,
                               const PlacementRequest& request) {
   const UpstreamRow& row = state.upstreams[upstream];
-  const detail::EffectiveLimit effective =
-      detail::LimitOf(state, upstream, detail::MultipleFor(state, request.has_history));
+  const detail::EffectiveLimit effective = detail::LimitOf(
+      state, upstream, detail::MultipleFor(state, request.pool, request.has_history));
   const std::uint64_t hash = detail::RendezvousHash(request.chat, row.hash);
   return {.upstream = upstream,
           .name = std::string(UpstreamName(state, upstream)),
--- a/src/placement/internal/placement.cc
+++ b/src/placement/internal/placement.cc
@@ -113,11 +113,14 @@
 }
 
 std::int32_t UpstreamLimit(const PlacementState& state, UpstreamIndex upstream, bool has_history) {
-  return detail::LimitOf(state, upstream, detail::MultipleFor(state, has_history)).limit;
+  return detail::LimitOf(state, upstream,
+                         detail::MultipleFor(state, state.upstreams[upstream].pool, has_history))
+      .limit;
 }
 
 bool IsCold(const PlacementState& state, UpstreamIndex upstream) {
-  return detail::LimitOf(state, upstream, state.settings.bound_multiple).cold;
+  return detail::LimitOf(state, upstream, BoundMultiple(state, state.upstreams[upstream].pool))
+      .cold;
 }
 
 bool AcceptsNewWork(const PlacementState& state, UpstreamIndex upstream) {
--- a/src/placement/internal/topology.cc
+++ b/src/placement/internal/topology.cc
@@ -92,12 +92,19 @@
   const PoolIndex pool = InternPool(state, info.pool);
   const DomainIndex domain = InternDomain(state, info.domain);
   UpstreamRow& row = state.upstreams[upstream];
+  const std::int32_t capacity = std::max(1, info.capacity);
+  // A membership sync names every upstream; without this it would rebuild the
+  // pool for each of them (62 ms a tick at 2,900 upstreams).
+  if (row.state == UpstreamState::kLive && row.pool == pool && row.domain == domain &&
+      row.kind == info.kind && row.capacity == capacity) {
+    return upstream;
+  }
   const PoolIndex previous_pool = row.pool;
   row.hash = StableHash(info.name);
   row.pool = pool;
   row.domain = domain;
   row.kind = info.kind;
-  row.capacity = std::max(1, info.capacity);
+  row.capacity = capacity;
   row.state = UpstreamState::kLive;
   if (previous_pool != kNoPool && previous_pool != pool) {
     detail::RebuildPool(state, previous_pool);
@@ -106,6 +113,15 @@
   return upstream;
 }
 
+void SetPoolBound(PlacementState& state, std::string_view pool, double bound_multiple) {
+  state.pools[InternPool(state, pool)].bound_multiple = bound_multiple;
+}
+
+double BoundMultiple(const PlacementState& state, PoolIndex pool) {
+  const bool has_own = pool < state.pools.size() && state.pools[pool].bound_multiple > 0.0;
+  return has_own ? state.pools[pool].bound_multiple : state.settings.bound_multiple;
+}
+
 void SetUpstreamState(PlacementState& state, UpstreamIndex upstream, UpstreamState next) {
   UpstreamRow& row = state.upstreams[upstream];
   if (row.state == next) {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -53,6 +53,8 @@
 
 struct PoolRow {
   std::string name;
+  // Load bound of this pool; 0 takes the one of the settings.
+  double bound_multiple = 0.0;
   std::vector<Segment> segments;
   std::vector<std::uint64_t> hashes;
   std::vector<UpstreamIndex> upstreams;
@@ -104,6 +106,8 @@
 UpstreamIndex FindUpstream(const PlacementState& state, std::string_view name);
 PoolIndex FindPool(const PlacementState& state, std::string_view name);
 DomainIndex FindDomain(const PlacementState& state, std::string_view name);
+// The load bound of one pool, which is added when it is unknown.
+void SetPoolBound(PlacementState& state, std::string_view pool, double bound_multiple);
 // Whether this router owns the upstream. An upstream starts cold at each new owner.
 void SetOwned(PlacementState& state, UpstreamIndex upstream, bool owned);
 // Adds the domain when it is unknown.
@@ -158,6 +162,8 @@
 // capacity up to date.
 void TickPlacement(PlacementState& state, TimePoint now);
 
+// The multiple of the mean load that bounds the upstreams of a pool.
+double BoundMultiple(const PlacementState& state, PoolIndex pool);
 // The in-flight limit of an upstream over all routers: the cold limit while
 // cold, otherwise min(capacity, load bound). The bound is lower for chats without
 // history, but a router that finds no room below it may use the higher one.
--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -18,6 +18,9 @@
 // Between the loss of a connection and the report that shows a new incarnation.
 constexpr Duration kLostRequestHold = std::chrono::seconds(10);
 constexpr std::uint32_t kFailedReportsOfDeadUpstream = 3;
+constexpr std::size_t kLargeDomainMembers = 12;
+constexpr Duration kSilentAfter = std::chrono::seconds(3);
+constexpr Duration kSilentAfterInLargeDomain = std::chrono::seconds(10);
 constexpr std::uint32_t kDefaultEngineCapacity = 8;
 
 fleet::OfferOutcome ToFleet(const config::OfferOutcome& outcome) {
@@ -98,8 +101,8 @@
   state.configuration = in_force;
   const config::FleetSettings& settings = in_force->settings;
   state.placement.settings.return_ramp = settings.return_ramp;
-  if (!in_force->pools.empty()) {
-    state.placement.settings.bound_multiple = in_force->pools.front().load_multiple;
+  for (const config::ModelPool& pool : in_force->pools) {
+    placement::SetPoolBound(state.placement, pool.name, pool.load_multiple);
   }
   state.ownership.settings.lease_term = settings.lease_term;
   state.retries.policy.ratio = settings.retry_budget_percent / 100.0;
@@ -137,6 +140,10 @@
       candidates.push_back(key);
     }
   }
+  // In a large domain the bound on heartbeat bytes makes peers hear each other
+  // only every 5 to 7 s.
+  state.membership.settings.silent_after =
+      members.size() > kLargeDomainMembers ? kSilentAfterInLargeDomain : kSilentAfter;
   ownership::SetMembers(state.ownership, members, candidates, now);
   admission::SetLiveRouters(state.limits, StableHash(state.identity.id), live, now);
 }
@@ -465,6 +472,21 @@
   }
 }
 
+// The lower of what the operators allow and what the upstream reports to bear.
+std::int32_t ColdLimitOf(const RouterState& state,
+                         const DomainUpstreamRow& row,
+                         const engines::LoadReport& report) {
+  const auto reported = static_cast<std::int32_t>(report.cold_limit);
+  const fleet::UpstreamMember* member = fleet::FindUpstream(state.membership, row.id);
+  const config::ModelPool* pool =
+      member == nullptr ? nullptr : config::FindPool(*state.configuration, member->pool);
+  if (pool == nullptr) {
+    return reported;
+  }
+  const auto configured = static_cast<std::int32_t>(pool->cold_limit);
+  return reported == 0 ? configured : std::min(configured, reported);
+}
+
 void ApplyReport(RouterState& state,
                  DomainUpstreamRow& row,
                  const engines::LoadReport& report,
@@ -484,7 +506,7 @@
                         {.incarnation = report.incarnation,
                          .sequence = report.sequence,
                          .capacity = static_cast<std::int32_t>(report.capacity),
-                         .cold_limit = static_cast<std::int32_t>(report.cold_limit),
+                         .cold_limit = ColdLimitOf(state, row, report),
                          .cold = report.cold,
                          .first_token_ms = static_cast<std::uint32_t>(report.first_token.count())},
                         asked_at);
