Judge silence across failure domains by the heartbeat fan-out

Routers of other domains get heartbeats only by a random choice of 3 members a second, but counted as no owner after 3 s of silence. An entry router then chose a wrong owner and gave up after 8 refusals.

--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -18,6 +18,9 @@
 constexpr Duration kLostRequestHold = std::chrono::seconds(10);
 constexpr std::uint32_t kFailedReportsOfDeadUpstream = 3;
 constexpr std::uint32_t kDefaultEngineCapacity = 8;
+// A router sends heartbeats to a few random members of other domains in each
+// period, so one of them can hear nothing for several of these rounds.
+constexpr int kSilentRounds = 5;
 
 fleet::OfferOutcome ToFleet(const config::OfferOutcome& outcome) {
   switch (outcome.verdict) {
@@ -464,6 +467,35 @@
                         asked_at);
 }
 
+// How long a router of a domain may be silent towards routers of other domains.
+Duration SilenceAcrossDomains(const RouterState& state, std::string_view domain) {
+  const fleet::GossipSettings& gossip = state.gossip.settings;
+  const auto receivers = static_cast<std::size_t>(
+      std::ranges::count_if(state.membership.routers, [&](const fleet::RouterMember& router) {
+        return router.member && router.failure_domain != domain;
+      }));
+  const std::size_t senders = std::max<std::size_t>(gossip.random_peers, 1);
+  const auto rounds = static_cast<int>((receivers + senders - 1) / senders);
+  return std::max<Duration>(state.membership.settings.silent_after,
+                            kSilentRounds * rounds * gossip.heartbeat_period);
+}
+
+// Whether a router counts as a candidate for the upstreams of its own domain.
+bool MayOwn(const RouterState& state,
+            const fleet::RouterMember& router,
+            Duration silence_across_domains,
+            TimePoint now) {
+  if (router.id == state.identity.id) {
+    return !state.draining;
+  }
+  if (router.failure_domain == state.identity.failure_domain) {
+    return fleet::IsCandidate(state.membership, router, now);
+  }
+  return router.member && !router.leaving && router.state == fleet::RouterState::kServing &&
+         now >= router.flaps.damped_until && router.last_heard &&
+         now - *router.last_heard <= silence_across_domains;
+}
+
 }  // namespace
 
 std::unique_ptr<RouterState> MakeRouterState(const RouterIdentity& identity,
@@ -670,12 +702,10 @@
       return fleet::FindRouter(state.membership, state.identity.id);
     }
   }
+  const Duration silence = SilenceAcrossDomains(state, member->failure_domain);
   std::vector<ownership::RouterKey> candidates;
   for (const fleet::RouterMember& router : state.membership.routers) {
-    const bool is_self = router.id == state.identity.id;
-    const bool is_candidate =
-        is_self ? !state.draining : fleet::IsCandidate(state.membership, router, now);
-    if (router.failure_domain == member->failure_domain && is_candidate) {
+    if (router.failure_domain == member->failure_domain && MayOwn(state, router, silence, now)) {
       candidates.push_back(ownership::MakeRouterKey(router.id));
     }
   }
