Refuse at an owner only when a request already waits, and hold engines cold on orders

Cause: with every request refused that found no free slot, chats left their cache; with none refused they queued beside idle engines. Conclusion: one may wait.

--- a/src/router/internal/engine_orders.cc
+++ b/src/router/internal/engine_orders.cc
@@ -76,6 +76,17 @@
   return views;
 }
 
+// An engine that loads other weights turns cold. Its reports say so only later, so
+// its limit falls when the order goes out.
+void HoldAtColdLimit(RouterState& state, const engines::OrderCommand& command) {
+  const auto found = state.upstreams.find(command.engine);
+  if (found == state.upstreams.end() || found->second.index == placement::kNoUpstream) {
+    return;
+  }
+  placement::ResetColdStart(state.placement.cold_start[found->second.index],
+                            placement::ColdReason::kNewIncarnation);
+}
+
 }  // namespace
 
 std::uint64_t HighestKnownVersion(const RouterState& state) {
@@ -101,7 +112,11 @@
                                        .highest_known_version = HighestKnownVersion(state),
                                        .router_count = MemberCount(state.membership),
                                        .engines = EngineViews(state, now)};
-  return engines::TickOrders(orders.table, inputs, now);
+  std::vector<engines::OrderCommand> commands = engines::TickOrders(orders.table, inputs, now);
+  for (const engines::OrderCommand& command : commands) {
+    HoldAtColdLimit(state, command);
+  }
+  return commands;
 }
 
 bool MayWriteOrder(const RouterState& state, const engines::OrderCommand& command, TimePoint now) {
--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -666,7 +666,7 @@
     refuse(admission::RefusalCode::kDomainOutOfService);
     return output;
   }
-  if (!request.may_wait && FreeSlots(state, row, now) <= 0) {
+  if (!request.may_wait && !row.queue.waiting.empty() && FreeSlots(state, row, now) <= 0) {
     refuse(admission::RefusalCode::kUpstreamAtLimit);
     return output;
   }
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -165,8 +165,8 @@
 struct DispatchRequest {
   std::string upstream;
   admission::QueuedRequest queued;
-  // Otherwise a request that finds no free slot is refused, and the entry router
-  // tries another upstream.
+  // Otherwise a request that finds others waiting is refused, and the entry router
+  // tries another upstream. One may always wait: its chat's cache is here.
   bool may_wait = true;
 };
 
--- a/src/standin/engine_types.h
+++ b/src/standin/engine_types.h
@@ -17,6 +17,10 @@
 struct EngineSettings {
   std::string id;
   std::string model;
+  // Loaded at the start of each incarnation, beside the model.
+  std::string adapter;
+  std::string version;
+  std::string role;
   int capacity = 16;      // requests in one batch
   int max_waiting = 256;  // further requests are refused as "not run"
   int cold_limit = 2;     // requests that a freshly started engine bears
--- a/src/standin/internal/engine.cc
+++ b/src/standin/internal/engine.cc
@@ -298,6 +298,9 @@
   engine.settings = std::move(settings);
   engine.incarnation = incarnation;
   engine.model = engine.settings.model;
+  engine.adapter = engine.settings.adapter;
+  engine.version = engine.settings.version;
+  engine.role = engine.settings.role;
   engine.cache.capacity_blocks = engine.settings.cache_capacity_blocks;
   engine.random.seed(engine.settings.seed);
   Start(engine, now);
--- a/src/standin/internal/platform_settings.cc
+++ b/src/standin/internal/platform_settings.cc
@@ -134,6 +134,9 @@
   const Duration millisecond = std::chrono::milliseconds(1);
   const Duration microsecond = std::chrono::microseconds(1);
   reader.String("model", engine.model, false);
+  reader.String("adapter", engine.adapter, false);
+  reader.String("version", engine.version, false);
+  reader.String("role", engine.role, false);
   reader.Integer("capacity", engine.capacity, kPositive);
   reader.Integer("max_waiting", engine.max_waiting, kPositive);
   reader.Integer("cold_limit", engine.cold_limit, kPositive);
