Use one rule for candidate owners and one check of peer requests

Cause: on reading the change again, SyncRouters repeated the rule of MayOwn for routers of its own domain, and ServePeer repeated IsFromPeer. Conclusion: a later change of either rule has one place.

--- a/src/router/internal/owner_flow.cc
+++ b/src/router/internal/owner_flow.cc
@@ -5,6 +5,7 @@
 
 #include "router/internal/attempt.h"
 #include "router/internal/entry_flow.h"
+#include "router/internal/peer_client.h"
 #include "router/internal/placement_hints.h"
 
 namespace geraniumspread::router::detail {
@@ -134,8 +135,7 @@
                                        transport::HttpRequest request,
                                        HttpResponder& responder) {
   const TimePoint now = RuntimeClock::now();
-  const RouterIdentity& identity = context.state->identity;
-  if (!VerifyPeerRequest(identity.shared_key, identity.incarnation, request, context.nonces, now)) {
+  if (!IsFromPeer(context, request)) {
     context.metrics.Count("geranium_peer_requests_refused_total");
     co_await responder.Send(transport::MakeErrorResponse(
         {.status = 403,
--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -120,6 +120,20 @@
 
 // --- Membership ---
 
+// Whether the router may be the owner of an upstream of its domain. Routers of
+// other domains send heartbeats to few random members, so their silence for a
+// few seconds says nothing; the platform's list tells when they are gone.
+bool MayOwn(const RouterState& state, const fleet::RouterMember& router, TimePoint now) {
+  if (router.id == state.identity.id) {
+    return !state.draining;
+  }
+  if (router.failure_domain == state.identity.failure_domain) {
+    return fleet::IsCandidate(state.membership, router, now);
+  }
+  const bool may_serve = !router.last_heard || router.state == fleet::RouterState::kServing;
+  return router.member && !router.leaving && may_serve && now >= router.flaps.damped_until;
+}
+
 void SyncRouters(RouterState& state, TimePoint now) {
   std::vector<ownership::RouterKey> members;
   std::vector<ownership::RouterKey> candidates;
@@ -135,8 +149,7 @@
       continue;
     }
     members.push_back(key);
-    const bool is_self = router.id == state.identity.id;
-    if (is_self ? !state.draining : fleet::IsCandidate(state.membership, router, now)) {
+    if (MayOwn(state, router, now)) {
       candidates.push_back(key);
     }
   }
@@ -512,20 +525,6 @@
                         asked_at);
 }
 
-// Whether the router may be the owner of an upstream of its domain. Routers of
-// other domains send heartbeats to few random members, so their silence for a
-// few seconds says nothing; the platform's list tells when they are gone.
-bool MayOwn(const RouterState& state, const fleet::RouterMember& router, TimePoint now) {
-  if (router.id == state.identity.id) {
-    return !state.draining;
-  }
-  if (router.failure_domain == state.identity.failure_domain) {
-    return fleet::IsCandidate(state.membership, router, now);
-  }
-  const bool may_serve = !router.last_heard || router.state == fleet::RouterState::kServing;
-  return router.member && !router.leaving && may_serve && now >= router.flaps.damped_until;
-}
-
 }  // namespace
 
 std::unique_ptr<RouterState> MakeRouterState(const RouterIdentity& identity,
