Hold an engine at its cold limit once per order, not on each repetition

Cause: the hold reset the cold start of an engine with every repeated order, so an engine that never answers its orders stayed cold and the others carried its load. Ruled out by a trial without the hold: any other change since.

--- a/src/router/internal/engine_orders.cc
+++ b/src/router/internal/engine_orders.cc
@@ -77,13 +77,18 @@
 }
 
 // An engine that loads other weights turns cold. Its reports say so only later, so
-// its limit falls when the order goes out.
+// its limit falls when the order goes out. A repeated order loads nothing again.
 void HoldAtColdLimit(RouterState& state, const engines::OrderCommand& command) {
   const auto found = state.upstreams.find(command.engine);
   if (found == state.upstreams.end() || found->second.index == placement::kNoUpstream) {
     return;
   }
-  placement::ResetColdStart(state.placement.cold_start[found->second.index],
+  DomainUpstreamRow& row = found->second;
+  if (row.ordered_state == command.state) {
+    return;
+  }
+  row.ordered_state = command.state;
+  placement::ResetColdStart(state.placement.cold_start[row.index],
                             placement::ColdReason::kNewIncarnation);
 }
 
--- a/src/router/internal/router_state.cc
+++ b/src/router/internal/router_state.cc
@@ -511,6 +511,7 @@
     return;
   }
   if (effect.value().new_incarnation && had_report) {
+    row.ordered_state.reset();
     NoteDeath(state, row, now);
   }
   const auto running = static_cast<std::int32_t>(report.running + report.waiting);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -65,6 +66,8 @@
   std::uint64_t service_sequence = 0;
   std::vector<outcomes::Fingerprint> in_flight;
   std::vector<LostRequest> lost;
+  // The state that this router last ordered, for the current incarnation.
+  std::optional<engines::EngineState> ordered_state;
   // When a connection with a request in flight was last lost. Until a load report
   // that was asked for later, the upstream may have restarted.
   TimePoint connection_lost_at = TimePoint::min();
