Send prompts that begin alike to one engine of the fleet

Each failure domain kept its own copy of each chat, and the two instances of a domain learned of them separately. The first engine in the rendezvous order of a prompt's first part is now its home for all instances. The failure rate of an upstream counts only beyond the lowest of its service, since some requests fail at every upstream.

--- a/src/dispatch/internal/prompt_memory.cc
+++ b/src/dispatch/internal/prompt_memory.cc
@@ -37,9 +37,18 @@
   memory = {};
 }
 
-std::uint64_t SubjectOf(const Prompt& prompt) {
-  const std::size_t count = prompt.parts.size();
-  return count < 2 ? 0 : prompt.parts[count - 2].id;
+std::uint32_t UncachedSharedTokens(const PromptMemory& memory, const Prompt& prompt) {
+  std::uint32_t uncached = 0;
+  bool is_cached = true;
+  for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
+    is_cached = is_cached && memory.by_id.contains(prompt.parts[index].id);
+    uncached += is_cached ? 0 : prompt.parts[index].tokens;
+  }
+  return uncached;
+}
+
+std::uint64_t FirstSharedPart(const Prompt& prompt) {
+  return prompt.parts.size() < 2 ? 0 : prompt.parts.front().id;
 }
 
 }  // namespace geraniumspread::dispatch
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -19,9 +19,9 @@
 constexpr double kOverBoundMsPerRequest = 50;
 // Part of the load bound that is used; peers place at the same time.
 constexpr double kLoadBoundMargin = 0.7;
-// A chat's first engine in the rendezvous order is treated as if it kept this part of the chat,
-// so that instances that don't know each other's chats choose the same one.
-constexpr double kHomeShare = 0.4;
+// Reading shared prompt parts again costs more than its time: it takes prefill
+// time from all requests of the engine and pushes other chats out of its cache.
+constexpr double kRereadFactor = 5;
 // Requests that may wait at a plain upstream, as a multiple of its slots.
 constexpr std::uint32_t kPlainQueueFactor = 4;
 
@@ -55,22 +55,21 @@
   return running >= places;
 }
 
-// The first engine of the own failure domain in the rendezvous order of the subject.
+// The engine at which all instances expect the shared parts of a prompt: the
+// first in the rendezvous order of its first part. Prompts that begin alike go
+// together, so that their common part is read once.
 const Upstream* HomeOf(const SelectionQuestion& question, std::span<const Candidate> candidates) {
-  const std::uint64_t subject = SubjectOf(question.prompt);
+  const std::uint64_t first_part = FirstSharedPart(question.prompt);
   const Upstream* home = nullptr;
   std::uint64_t best = 0;
   for (const Candidate& candidate : candidates) {
     const Upstream& upstream = *candidate.row;
-    if (upstream.listing.failure_domain != question.own_domain) {
-      continue;
-    }
-    if (const std::uint64_t score = Score(subject, upstream.listing.id); score >= best) {
+    if (const std::uint64_t score = Score(first_part, upstream.listing.id); score >= best) {
       best = score;
       home = &upstream;
     }
   }
-  return subject == 0 ? nullptr : home;
+  return first_part == 0 ? nullptr : home;
 }
 
 double MeanRunning(std::span<const Candidate> candidates) {
@@ -81,6 +80,15 @@
   return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
 }
 
+// Some requests fail at each upstream; only what goes beyond that tells against one.
+double LowestFailureRate(const SelectionQuestion& question, std::span<const Candidate> candidates) {
+  double lowest = 1;
+  for (const Candidate& candidate : candidates) {
+    lowest = std::min(lowest, FailureRate(candidate.row->health, question.now));
+  }
+  return lowest;
+}
+
 double PlainCost(const Candidate& candidate) {
   const double slots = std::max<std::uint32_t>(candidate.row->listing.slots, 1);
   const double load = candidate.running / slots;
@@ -89,11 +97,13 @@
 
 double EngineCost(const UpstreamTable& table,
                   const SelectionSettings& settings,
+                  const Prompt& prompt,
                   const Candidate& candidate,
                   bool is_home) {
-  const double own = candidate.uncached_tokens * (is_home ? 1 - kHomeShare : 1);
+  const double reread =
+      is_home ? 0 : UncachedSharedTokens(candidate.row->memory, prompt) * kRereadFactor;
   const auto waiting = static_cast<double>(EstimatedUnreadTokens(table, *candidate.row));
-  return (own + waiting) / settings.prefill_tokens_per_ms + candidate.running * kEngineRunningMs;
+  return (reread + waiting) / settings.prefill_tokens_per_ms + candidate.running * kEngineRunningMs;
 }
 
 void SetCosts(const UpstreamTable& table,
@@ -103,17 +113,19 @@
   const Upstream* home = HomeOf(question, candidates);
   const double bound =
       (settings.load_factor * MeanRunning(candidates) + settings.load_slack) * kLoadBoundMargin;
+  const double usual_failures = LowestFailureRate(question, candidates);
   const double kilobytes = static_cast<double>(question.body_bytes) / 1024;
   for (Candidate& candidate : candidates) {
     const Upstream& upstream = *candidate.row;
     candidate.cost_ms = question.is_engine
-                            ? EngineCost(table, settings, candidate, &upstream == home)
+                            ? EngineCost(table, settings, question.prompt, candidate, &upstream == home)
                             : PlainCost(candidate);
     if (upstream.listing.failure_domain != question.own_domain) {
       candidate.cost_ms +=
           settings.cross_domain_ms + kilobytes * settings.cross_domain_ms_per_kilobyte;
     }
-    candidate.cost_ms += FailureRate(upstream.health, question.now) * kFailureMs;
+    candidate.cost_ms +=
+        (FailureRate(upstream.health, question.now) - usual_failures) * kFailureMs;
     if (const double excess = candidate.running + 1 - bound; excess > 0) {
       candidate.cost_ms += kOverBoundMs + excess * kOverBoundMsPerRequest;
     }
--- a/src/dispatch/prompt_memory.h
+++ b/src/dispatch/prompt_memory.h
@@ -28,8 +28,10 @@
 // Notes that the engine reads this prompt. `capacity` is in tokens.
 void RememberPrompt(PromptMemory& memory, const Prompt& prompt, std::uint64_t capacity);
 void ForgetPrompts(PromptMemory& memory);
-// Identifies the chat or subject of a prompt: its last shared part. 0 without one.
-std::uint64_t SubjectOf(const Prompt& prompt);
+// Tokens of the shared parts that the engine still has to read: all but the last.
+std::uint32_t UncachedSharedTokens(const PromptMemory& memory, const Prompt& prompt);
+// Identifies the prompts that begin alike. 0 for a prompt without shared parts.
+std::uint64_t FirstSharedPart(const Prompt& prompt);
 
 }  // namespace geraniumspread::dispatch
 
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -59,6 +59,9 @@
   if (now < edge.stop_at + kUnreadyNoticeTime) {
     return;
   }
+  // New connections still come while few instances are ready; a refused one is
+  // tried elsewhere at once, and the last requests have time to end.
+  edge.caller_server->BeginDrain();
   edge.caller_server->CloseIdle();
   const bool is_done = edge.caller_server->OpenConnections() == 0;
   if ((is_done || now >= deadline) && edge.stopped) {
