Count only the unshared tokens as waiting at a prompt's home

Cause: an instance that had not sent a chat before took its whole prompt for unread at its home, although other instances had sent it there. The home looked busy for hundreds of milliseconds and chats spilled to other engines. The load bound is used to 0.9 instead of 0.7 of its value.

--- a/src/dispatch/internal/prompt_memory.cc
+++ b/src/dispatch/internal/prompt_memory.cc
@@ -47,6 +47,10 @@
   return uncached;
 }
 
+std::uint32_t SharedTokens(const Prompt& prompt) {
+  return UncachedSharedTokens(PromptMemory(), prompt);
+}
+
 std::uint64_t FirstSharedPart(const Prompt& prompt) {
   return prompt.parts.size() < 2 ? 0 : prompt.parts.front().id;
 }
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -18,7 +18,7 @@
 constexpr double kOverBoundMs = 2000;
 constexpr double kOverBoundMsPerRequest = 50;
 // Part of the load bound that is used; peers place at the same time.
-constexpr double kLoadBoundMargin = 0.7;
+constexpr double kLoadBoundMargin = 0.9;
 // Reading shared prompt parts again costs more than its time: it takes prefill
 // time from all requests of the engine and pushes other chats out of its cache.
 constexpr double kRereadFactor = 5;
@@ -117,6 +117,12 @@
   const double kilobytes = static_cast<double>(question.body_bytes) / 1024;
   for (Candidate& candidate : candidates) {
     const Upstream& upstream = *candidate.row;
+    if (&upstream == home) {
+      // Other instances send these shared parts there too.
+      const std::uint32_t shared = SharedTokens(question.prompt);
+      candidate.uncached_tokens =
+          question.prompt.input_tokens - std::min(shared, question.prompt.input_tokens);
+    }
     candidate.cost_ms = question.is_engine
                             ? EngineCost(table, settings, question.prompt, candidate, &upstream == home)
                             : PlainCost(candidate);
--- a/src/dispatch/prompt_memory.h
+++ b/src/dispatch/prompt_memory.h
@@ -30,6 +30,8 @@
 void ForgetPrompts(PromptMemory& memory);
 // Tokens of the shared parts that the engine still has to read: all but the last.
 std::uint32_t UncachedSharedTokens(const PromptMemory& memory, const Prompt& prompt);
+// Tokens of the shared parts: all but the last.
+std::uint32_t SharedTokens(const Prompt& prompt);
 // Identifies the prompts that begin alike. 0 for a prompt without shared parts.
 std::uint64_t FirstSharedPart(const Prompt& prompt);
 
