--- a/apps/geranium_edge/main.cc
+++ b/apps/geranium_edge/main.cc
@@ -18,6 +18,7 @@
 #include "platform/wire_codec.h"
 
 DEFINE_string(settings, "", "settings file; the default is the path that the platform names");
+DEFINE_uint64(log_one_in, 16, "log one in this many requests that succeed at once");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace {
@@ -149,11 +150,12 @@
     std::cerr << "geranium_edge: no settings file is named\n" << kUsage << '\n';
     return kExitUsage;
   }
-  const auto settings = geraniumspread::platform::ReadSettings(path);
+  auto settings = geraniumspread::platform::ReadSettings(path);
   if (!settings) {
     std::cerr << "geranium_edge: " << settings.error().message << '\n';
     return kExitBadSettings;
   }
+  settings.value().log_one_in = std::max<std::uint64_t>(FLAGS_log_one_in, 1);
   if (FLAGS_check) {
     return 0;
   }
--- a/src/dispatch/internal/prompt_memory.cc
+++ b/src/dispatch/internal/prompt_memory.cc
@@ -51,8 +51,9 @@
   return UncachedSharedTokens(PromptMemory(), prompt);
 }
 
-std::uint64_t FirstSharedPart(const Prompt& prompt) {
-  return prompt.parts.size() < 2 ? 0 : prompt.parts.front().id;
+std::uint64_t SubjectOf(const Prompt& prompt) {
+  const std::size_t count = prompt.parts.size();
+  return count < 2 ? 0 : prompt.parts[count - 2].id;
 }
 
 }  // namespace geraniumspread::dispatch
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -56,20 +56,20 @@
 }
 
 // The engine at which all instances expect the shared parts of a prompt: the
-// first in the rendezvous order of its first part. Prompts that begin alike go
-// together, so that their common part is read once.
+// first in the rendezvous order of its subject. First parts are no measure: one
+// may begin three quarters of all long prompts.
 const Upstream* HomeOf(const SelectionQuestion& question, std::span<const Candidate> candidates) {
-  const std::uint64_t first_part = FirstSharedPart(question.prompt);
+  const std::uint64_t subject = SubjectOf(question.prompt);
   const Upstream* home = nullptr;
   std::uint64_t best = 0;
   for (const Candidate& candidate : candidates) {
     const Upstream& upstream = *candidate.row;
-    if (const std::uint64_t score = Score(first_part, upstream.listing.id); score >= best) {
+    if (const std::uint64_t score = Score(subject, upstream.listing.id); score >= best) {
       best = score;
       home = &upstream;
     }
   }
-  return first_part == 0 ? nullptr : home;
+  return subject == 0 ? nullptr : home;
 }
 
 double MeanRunning(std::span<const Candidate> candidates) {
@@ -118,6 +118,7 @@
   for (Candidate& candidate : candidates) {
     const Upstream& upstream = *candidate.row;
     if (&upstream == home) {
+      candidate.is_home = true;
       // Other instances send these shared parts there too.
       const std::uint32_t shared = SharedTokens(question.prompt);
       candidate.uncached_tokens =
--- a/src/dispatch/prompt_memory.h
+++ b/src/dispatch/prompt_memory.h
@@ -32,8 +32,9 @@
 std::uint32_t UncachedSharedTokens(const PromptMemory& memory, const Prompt& prompt);
 // Tokens of the shared parts: all but the last.
 std::uint32_t SharedTokens(const Prompt& prompt);
-// Identifies the prompts that begin alike. 0 for a prompt without shared parts.
-std::uint64_t FirstSharedPart(const Prompt& prompt);
+// Identifies the chat or subject of a prompt: its last shared part. 0 for a
+// prompt without shared parts.
+std::uint64_t SubjectOf(const Prompt& prompt);
 
 }  // namespace geraniumspread::dispatch
 
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -47,6 +47,8 @@
   double cost_ms = 0;
   std::uint32_t running = 0;
   std::uint32_t uncached_tokens = 0;
+  // All instances expect the shared parts of the prompt here.
+  bool is_home = false;
 };
 
 enum class SelectionFailure : std::uint8_t {
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -114,15 +114,14 @@
 }
 
 // Fast successes are sampled by request id, so that all instances keep the same ones.
-bool IsSampled(const std::string& request_id) {
-  constexpr std::uint64_t kSampledOneIn = 16;
-  return StableHash(request_id) % kSampledOneIn == 0;
+bool IsSampled(const RequestRun& run) {
+  return StableHash(run.request.id) % run.edge->settings.log_one_in == 0;
 }
 
 void LogAttempt(const RequestRun& run,
                 const dispatch::Selection& selection,
                 const Attempt& attempt) {
-  if (attempt.result == AttemptResult::kDelivered && run.sends == 1 && !IsSampled(run.request.id)) {
+  if (attempt.result == AttemptResult::kDelivered && run.sends == 1 && !IsSampled(run)) {
     return;
   }
   LogEvent(LogLevel::kInfo, "attempt",
@@ -136,6 +135,8 @@
                         : run.stopped == StopReason::kCallerGone ? "caller_gone"
                                                                  : "no"},
             {"elapsed_ms", Milliseconds(RuntimeClock::now() - run.started)},
+            {"home", selection.candidates.front().is_home},
+            {"subject", dispatch::SubjectOf(run.request.prompt)},
             {"candidates", Describe(selection)},
             {"config", run.edge->config ? run.edge->config->version : 0},
             {"published_revision", run.edge->published.revision}});
