Leave a failure domain whose instances turned silent

A domain counts as silent when no digest of its instances came for 500 ms. Its upstreams then cost more, requests that may be repeated leave it, and connections to it are fresh. A repeatable request was also never moved on from a silent upstream, since the send under way was counted twice.

--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -94,6 +94,29 @@
   return silent;
 }
 
+std::vector<std::string> UpdateDomainSilence(const PeerTable& peers,
+                                             UpstreamTable& upstreams,
+                                             TimePoint now) {
+  // The newest digest of each other failure domain.
+  std::map<std::string, TimePoint> heard;
+  for (const auto& [address, peer] : peers.peers) {
+    if (!peer.digest.leaving && peer.digest.failure_domain != peers.self_domain) {
+      TimePoint& newest = heard[peer.digest.failure_domain];
+      newest = std::max(newest, peer.heard_at);
+    }
+  }
+  std::vector<std::string> turned_silent;
+  for (const auto& [domain, newest] : heard) {
+    const bool is_silent = newest + peers.settings.domain_silence < now;
+    if (!is_silent) {
+      upstreams.domains_silent.erase(domain);
+    } else if (upstreams.domains_silent.insert(domain).second) {
+      turned_silent.push_back(domain);
+    }
+  }
+  return turned_silent;
+}
+
 std::vector<std::string> DigestTargets(const PeerTable& peers,
                                        std::mt19937_64& random,
                                        TimePoint now) {
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -131,6 +131,9 @@
       candidate.cost_ms +=
           settings.cross_domain_ms + kilobytes * settings.cross_domain_ms_per_kilobyte;
     }
+    if (table.domains_silent.contains(upstream.listing.failure_domain)) {
+      candidate.cost_ms += settings.silent_domain_ms;
+    }
     candidate.cost_ms +=
         (FailureRate(upstream.health, question.now) - usual_failures) * kFailureMs;
     if (const double excess = candidate.running + 1 - bound; excess > 0) {
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -39,6 +39,9 @@
 struct PeerSettings {
   // Loads of a peer count for this long after its last digest.
   Duration load_lifetime = std::chrono::milliseconds(1500);
+  // A failure domain seems cut off once all its live instances are silent for this
+  // long: two digests in a row are missing.
+  Duration domain_silence = std::chrono::milliseconds(500);
   // A silent peer is still counted as an instance for this long: it may work on
   // behind a cut.
   Duration memory = std::chrono::seconds(60);
@@ -82,6 +85,11 @@
 std::vector<std::string> SharedAddresses(const PeerTable& peers,
                                          std::mt19937_64& random,
                                          TimePoint now);
+// Notes failure domains that turned silent or are heard again. Returns those that
+// turned silent.
+std::vector<std::string> UpdateDomainSilence(const PeerTable& peers,
+                                             UpstreamTable& upstreams,
+                                             TimePoint now);
 bool IsLive(const PeerTable& peers, const Peer& peer, TimePoint now);
 // This instance and all remembered peers.
 std::size_t KnownInstances(const PeerTable& peers);
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -22,6 +22,8 @@
   // Cost of leaving the failure domain: the bytes between domains are paid for.
   double cross_domain_ms = 10;
   double cross_domain_ms_per_kilobyte = 6;
+  // Cost of an upstream in a failure domain that seems cut off.
+  double silent_domain_ms = 1000;
 };
 
 struct SelectionQuestion {
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -59,6 +59,8 @@
   std::uint64_t unread_tokens = 0;
   std::optional<LoadReport> report;
   UpstreamHealth health;
+  // When this instance last received bytes from it.
+  TimePoint heard_at;
   PromptMemory memory;
   SlidingCount cold_sends;
 };
@@ -76,6 +78,8 @@
   // By service, ordered by id, so that all instances walk them alike.
   std::unordered_map<std::string, std::vector<UpstreamRow>> by_service;
   std::set<std::string, std::less<>> domains_out;
+  // Failure domains whose instances are silent, so that a cut is likely.
+  std::set<std::string, std::less<>> domains_silent;
   // By StableHash of the upstream's id; kept up to date by the peer table.
   std::unordered_map<std::uint64_t, RemoteLoad> remote;
 };
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -25,14 +25,11 @@
 // Callers give up a stream after a pause of this multiple of its pause goal.
 constexpr int kPauseFactor = 8;
 constexpr Duration kMinPause = std::chrono::seconds(2);
+// A kept connection may have lost its path without a sign. A request that may not
+// be repeated takes a new one unless the upstream was heard this recently.
+constexpr Duration kTrustedSilence = std::chrono::milliseconds(250);
 constexpr int kFirstFailureStatus = 500;
 
-// Another upstream may still be tried when this attempt stays silent.
-bool MayMoveOn(const RequestRun& run) {
-  return run.route.repeatability != dispatch::Repeatability::kNonRepeatable &&
-         run.sends + 1 < run.route.max_attempts;
-}
-
 transport::ExchangeTimeouts TimeoutsOf(const RequestRun& run) {
   const Duration remaining = Remaining(run);
   transport::ExchangeTimeouts timeouts;
@@ -97,6 +94,7 @@
     if (!bytes) {
       co_return std::string(transport::ToString(bytes.error().code));
     }
+    run.active_upstream->heard_at = RuntimeClock::now();
     const bool at_end = bytes.value().empty();
     const std::string events = TakeEvents(splitter, bytes.value());
     if (!events.empty()) {
@@ -187,6 +185,16 @@
   co_return attempt;
 }
 
+transport::ConnectionPolicy PolicyOf(const RequestRun& run, const dispatch::Upstream& upstream) {
+  const bool is_heard = upstream.heard_at + kTrustedSilence >= RuntimeClock::now();
+  const bool is_silent_domain =
+      run.edge->upstreams.domains_silent.contains(upstream.listing.failure_domain);
+  const bool may_reuse =
+      !is_silent_domain &&
+      (is_heard || run.route.repeatability != dispatch::Repeatability::kNonRepeatable);
+  return may_reuse ? transport::ConnectionPolicy::kReuse : transport::ConnectionPolicy::kFresh;
+}
+
 UpstreamCall CallOf(const RequestRun& run, const dispatch::Upstream& upstream) {
   UpstreamCall call;
   call.upstream = upstream.listing.id;
@@ -250,9 +258,10 @@
     return echoed.empty() || echoed == run.request.id;
   });
   run.active = &exchange;
+  run.active_upstream = chosen.row;
   transport::HttpRequest request =
       run.edge->codec.encode_upstream_request(run.request, CallOf(run, upstream));
-  auto head = co_await exchange.Start(std::move(request), transport::ConnectionPolicy::kReuse);
+  auto head = co_await exchange.Start(std::move(request), PolicyOf(run, upstream));
   if (!head) {
     run.active = nullptr;
     const Attempt attempt = Failed(run, upstream, head.error());
@@ -263,6 +272,7 @@
     co_return attempt;
   }
   const UpstreamAnswer answer = run.edge->codec.decode_answer(head.value());
+  upstream.heard_at = RuntimeClock::now();
   TakeReport(run, upstream, answer);
   const bool is_success = head.value().status >= 200 && head.value().status < 300;
   Attempt attempt;
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -89,6 +89,11 @@
        dispatch::ExpirePeers(edge->peers, edge->upstreams, RuntimeClock::now())) {
     LogEvent(LogLevel::kInfo, "peer", {{"peer", peer}, {"change", "silent"}});
   }
+  for (const std::string& domain : dispatch::UpdateDomainSilence(
+           edge->peers, edge->upstreams, RuntimeClock::now())) {
+    LogEvent(LogLevel::kWarn, "failure_domain_silent", {{"failure_domain", domain}});
+    LeaveDomain(*edge, domain);
+  }
   ExpireHeldRemovals(*edge);
   SendDigests(*edge);
   PullIfBehind(edge);
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <unordered_set>
 
 #include "common/runtime_timer.h"
 #include "dispatch/peer_table.h"
@@ -22,6 +23,8 @@
 
 namespace geraniumspread::edge::detail {
 
+struct RequestRun;
+
 struct EdgeState {
   EdgeState(boost::asio::io_context& context, EdgeSettings edge_settings, PlatformCodec platform)
       : io(context),
@@ -41,6 +44,8 @@
   dispatch::UpstreamTable upstreams;
   dispatch::PeerTable peers;
   dispatch::RetryShare retries;
+  // Requests that wait for an upstream.
+  std::unordered_set<RequestRun*> runs;
   // When the store was last out of reach; removals soon after may be undone.
   std::optional<TimePoint> feed_lost_at;
   bool feed_reachable = false;
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -221,6 +221,20 @@
   return std::max(Duration{0}, run.ends_at - RuntimeClock::now());
 }
 
+bool MayMoveOn(const RequestRun& run) {
+  return run.route.repeatability != dispatch::Repeatability::kNonRepeatable &&
+         run.sends < run.route.max_attempts;
+}
+
+void LeaveDomain(EdgeState& edge, std::string_view failure_domain) {
+  for (RequestRun* run : edge.runs) {
+    if (run->active != nullptr && MayMoveOn(*run) &&
+        run->active_upstream->listing.failure_domain == failure_domain) {
+      run->active->Cancel();
+    }
+  }
+}
+
 void StopRun(RequestRun& run, StopReason reason) {
   if (run.stopped != StopReason::kNone) {
     return;
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -15,7 +15,12 @@
 // One caller's request over all its attempts.
 struct RequestRun {
   RequestRun(Edge edge_state, CallerRequest caller_request)
-      : edge(std::move(edge_state)), request(std::move(caller_request)), expiry(edge->io) {}
+      : edge(std::move(edge_state)), request(std::move(caller_request)), expiry(edge->io) {
+    this->edge->runs.insert(this);
+  }
+  RequestRun(const RequestRun&) = delete;
+  RequestRun& operator=(const RequestRun&) = delete;
+  ~RequestRun() { this->edge->runs.erase(this); }
 
   Edge edge;
   CallerRequest request;
@@ -36,6 +41,7 @@
   bool may_have_run = false;
   StopReason stopped = StopReason::kNone;
   transport::HttpExchange* active = nullptr;
+  dispatch::UpstreamRow active_upstream;
 
   // A stream's headers were sent to the caller.
   bool stream_started = false;
@@ -43,8 +49,13 @@
 };
 
 Duration Remaining(const RequestRun& run);
+// Another upstream may be tried although this attempt may have run the request.
+bool MayMoveOn(const RequestRun& run);
 // Ends the attempt under way.
 void StopRun(RequestRun& run, StopReason reason);
+// Ends the attempts under way at upstreams of a failure domain that turned
+// silent, where another upstream may take the request.
+void LeaveDomain(EdgeState& edge, std::string_view failure_domain);
 // Whether the request may be sent to one more upstream after `ran`.
 bool MayTryAgain(RequestRun& run, RunState ran);
 
