--- /dev/null
+++ b/src/dispatch/tests/peer_table_test.cc
@@ -0,0 +1,124 @@
+#include "dispatch/peer_table.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "common/hash.h"
+#include "dispatch/tests/test_tables.h"
+
+namespace geraniumspread::dispatch {
+namespace {
+
+using namespace std::chrono_literals;
+using test::kStart;
+
+PeerDigest Digest(const std::string& address, std::uint64_t sequence, std::uint32_t running) {
+  PeerDigest digest;
+  digest.instance = "edge-" + address;
+  digest.incarnation = 1;
+  digest.sequence = sequence;
+  digest.address = address;
+  digest.failure_domain = "b";
+  digest.published_revision = 5;
+  digest.loads = {{StableHash("a0"), running, 100}};
+  return digest;
+}
+
+PeerTable MakePeers() {
+  PeerTable peers;
+  peers.self_address = "10.0.0.1";
+  peers.self_domain = "a";
+  return peers;
+}
+
+// Guards against loads that add up with each digest, and against overtaken datagrams.
+BOOST_AUTO_TEST_CASE(OnlyTheNewestDigestOfAPeerCounts) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  ApplyDigest(peers, upstreams, Digest("10.0.0.2", 1, 4), kStart);
+  ApplyDigest(peers, upstreams, Digest("10.0.0.2", 3, 7), kStart);
+  BOOST_CHECK(ApplyDigest(peers, upstreams, Digest("10.0.0.2", 2, 1), kStart) == PeerChange::kNone);
+  ApplyDigest(peers, upstreams, Digest("10.0.0.3", 1, 2), kStart);
+  BOOST_TEST(upstreams.remote.at(StableHash("a0")).running == 9U);
+}
+
+// Guards against the load of an instance that died.
+BOOST_AUTO_TEST_CASE(ASilentPeerCountsNoLoadButStaysAnInstance) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  ApplyDigest(peers, upstreams, Digest("10.0.0.2", 1, 4), kStart);
+  BOOST_TEST(ExpirePeers(peers, upstreams, kStart + 2s).size() == 1U);
+  BOOST_TEST(upstreams.remote.empty());
+  BOOST_TEST(KnownInstances(peers) == 2U);
+  ExpirePeers(peers, upstreams, kStart + 2min);
+  BOOST_TEST(KnownInstances(peers) == 1U);
+}
+
+// Guards against an instance's own digest that comes back from a seed list.
+BOOST_AUTO_TEST_CASE(AnInstanceIsNotItsOwnPeer) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  ApplyDigest(peers, upstreams, Digest("10.0.0.1", 1, 4), kStart);
+  BOOST_TEST(peers.peers.empty());
+}
+
+// Pattern: a zone cut. One silent instance is a crash; all of a domain are a cut.
+BOOST_AUTO_TEST_CASE(ADomainIsSilentOnlyWhenAllItsInstancesAre) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  ApplyDigest(peers, upstreams, Digest("10.0.0.2", 1, 0), kStart);
+  ApplyDigest(peers, upstreams, Digest("10.0.0.3", 1, 0), kStart);
+  ApplyDigest(peers, upstreams, Digest("10.0.0.3", 2, 0), kStart + 600ms);
+  BOOST_TEST(UpdateDomainSilence(peers, upstreams, kStart + 700ms).empty());
+  BOOST_TEST(UpdateDomainSilence(peers, upstreams, kStart + 1200ms).size() == 1U);
+  BOOST_TEST(upstreams.domains_silent.contains("b"));
+  ApplyDigest(peers, upstreams, Digest("10.0.0.2", 2, 0), kStart + 1300ms);
+  UpdateDomainSilence(peers, upstreams, kStart + 1300ms);
+  BOOST_TEST(upstreams.domains_silent.empty());
+}
+
+// Pattern: a large fleet. The digests of one instance must not grow with it.
+BOOST_AUTO_TEST_CASE(TheNumberOfTargetsIsBounded) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  for (int index = 2; index < 250; ++index) {
+    PeerDigest digest = Digest("10.0.0." + std::to_string(index), 1, 1);
+    digest.failure_domain = index % 3 == 0 ? "a" : "b";
+    ApplyDigest(peers, upstreams, digest, kStart);
+  }
+  std::mt19937_64 random(1);
+  BOOST_TEST(DigestTargets(peers, random, kStart).size() <= 12U);
+  BOOST_TEST(SharedAddresses(peers, random, kStart).size() <= 6U);
+}
+
+// Pattern: the store turns this instance away and serves others.
+BOOST_AUTO_TEST_CASE(APeerWithNewerStateIsFound) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  PeerDigest far = Digest("10.0.0.2", 1, 0);
+  far.published_revision = 9;
+  PeerDigest near = Digest("10.0.0.3", 1, 0);
+  near.failure_domain = "a";
+  near.published_revision = 8;
+  ApplyDigest(peers, upstreams, far, kStart);
+  ApplyDigest(peers, upstreams, near, kStart);
+  BOOST_TEST(PeerAhead(peers, 7, kStart)->digest.address == "10.0.0.3");
+  BOOST_TEST(PeerAhead(peers, 8, kStart)->digest.address == "10.0.0.2");
+  BOOST_TEST(PeerAhead(peers, 9, kStart) == nullptr);
+}
+
+// An instance that was named by a peer is greeted, and dropped when it stays silent.
+BOOST_AUTO_TEST_CASE(NamedInstancesAreGreetedForAWhile) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  PeerDigest digest = Digest("10.0.0.2", 1, 0);
+  digest.known_addresses = {"10.0.0.1", "10.0.0.7"};
+  ApplyDigest(peers, upstreams, digest, kStart);
+  std::mt19937_64 random(1);
+  BOOST_TEST(std::ranges::count(DigestTargets(peers, random, kStart), "10.0.0.7") == 1);
+  ExpirePeers(peers, upstreams, kStart + 11s);
+  BOOST_TEST(peers.named.empty());
+}
+
+}  // namespace
+}  // namespace geraniumspread::dispatch
--- /dev/null
+++ b/src/dispatch/tests/published_state_test.cc
@@ -0,0 +1,61 @@
+#include "dispatch/published_state.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace geraniumspread::dispatch {
+namespace {
+
+// Guards against a configuration that goes back because a slower source is older.
+BOOST_AUTO_TEST_CASE(OlderChangesAndStatesAreIgnored) {
+  PublishedState state;
+  ReplaceState(state, {{"config", "3", 30}}, 30);
+  BOOST_TEST(ApplyChanges(state, {{"config", "2", 20}}, 20).empty());
+  BOOST_TEST(ReplaceState(state, {{"config", "2", 20}}, 20).empty());
+  BOOST_TEST(state.items.at("config").value == "3");
+  BOOST_TEST(state.revision == 30U);
+}
+
+// Pages of the first read are no snapshot: a later change may come twice.
+BOOST_AUTO_TEST_CASE(AChangeThatThePagesAlreadyHadIsAppliedOnce) {
+  PublishedState state;
+  ReplaceState(state, {{"a", "new", 12}}, 10);
+  BOOST_TEST(ApplyChanges(state, {{"a", "new", 12}, {"b", "1", 13}}, 13).size() == 1U);
+}
+
+// Guards against an upstream that stays known because its removal was missed.
+BOOST_AUTO_TEST_CASE(KeysMissingFromANewStateAreRemoved) {
+  PublishedState state;
+  ReplaceState(state, {{"a", "1", 1}, {"b", "1", 2}}, 5);
+  const std::vector<PublishedItem> changes = ReplaceState(state, {{"b", "1", 2}}, 9);
+  BOOST_TEST(changes.size() == 1U);
+  BOOST_TEST(changes.front().key == "a");
+  BOOST_TEST(changes.front().removed);
+  BOOST_TEST(!state.items.contains("a"));
+}
+
+BOOST_AUTO_TEST_CASE(RecentChangesAreGivenToAPeerThatLacksThem) {
+  PublishedState state;
+  ReplaceState(state, {{"a", "1", 1}}, 5);
+  ApplyChanges(state, {{"a", "2", 6}}, 6);
+  ApplyChanges(state, {{"a", {}, 7, true}}, 7);
+  const auto changes = ChangesSince(state, 6);
+  BOOST_TEST_REQUIRE(changes.has_value());
+  BOOST_TEST(changes->size() == 1U);
+  BOOST_TEST(changes->front().removed);
+  BOOST_TEST(!ChangesSince(state, 4).has_value());
+}
+
+// Guards against unbounded memory in a storm of changes.
+BOOST_AUTO_TEST_CASE(OnlyTheNewestChangesAreKept) {
+  PublishedState state;
+  ReplaceState(state, {}, 1);
+  for (std::uint64_t revision = 2; revision < 500; ++revision) {
+    ApplyChanges(state, {{"a", "x", revision}}, revision);
+  }
+  BOOST_TEST(state.recent.size() <= 64U);
+  BOOST_TEST(!ChangesSince(state, 2).has_value());
+  BOOST_TEST(ChangesSince(state, 498)->size() == 1U);
+}
+
+}  // namespace
+}  // namespace geraniumspread::dispatch
--- /dev/null
+++ b/src/dispatch/tests/selection_test.cc
@@ -0,0 +1,203 @@
+#include "dispatch/selection.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+#include "dispatch/tests/test_tables.h"
+
+namespace geraniumspread::dispatch {
+namespace {
+
+using namespace std::chrono_literals;
+using test::ChatPrompt;
+using test::EngineQuestion;
+using test::kStart;
+using test::MakeTable;
+
+std::string Chosen(const UpstreamTable& table, const SelectionQuestion& question) {
+  const Selection selection = SelectUpstream(table, SelectionSettings{}, question);
+  return selection.candidates.empty() ? "" : selection.candidates.front().row->listing.id;
+}
+
+// Guards against a chat that is read again because instances of different
+// failure domains send it to different engines.
+BOOST_AUTO_TEST_CASE(InstancesOfAllDomainsAgreeOnTheHomeOfAChat) {
+  const UpstreamTable table = MakeTable(4);
+  for (std::uint64_t chat = 0; chat < 50; ++chat) {
+    const Prompt prompt = ChatPrompt(chat, chat);
+    const std::string home = Chosen(table, EngineQuestion(prompt, "a"));
+    BOOST_TEST(Chosen(table, EngineQuestion(prompt, "b")) == home);
+    BOOST_TEST(Chosen(table, EngineQuestion(prompt, "c")) == home);
+  }
+}
+
+// Pattern: one first part begins nearly all long prompts. Homes by first part
+// put them on one engine.
+BOOST_AUTO_TEST_CASE(ChatsWithOneCommonFirstPartSpreadOverTheEngines) {
+  const UpstreamTable table = MakeTable(4);
+  std::map<std::string, int> chats;
+  constexpr int kChats = 600;
+  for (std::uint64_t chat = 0; chat < kChats; ++chat) {
+    ++chats[Chosen(table, EngineQuestion(ChatPrompt(chat, chat)))];
+  }
+  BOOST_TEST(chats.size() == 12U);
+  for (const auto& [upstream, count] : chats) {
+    BOOST_TEST(count <= 2 * kChats / 12, upstream << " is home of " << count);
+  }
+}
+
+// Pattern: a burst of requests about one chat. The load bound sends the excess
+// elsewhere before the home holds twice the mean.
+BOOST_AUTO_TEST_CASE(AHotChatStaysUnderTheLoadBound) {
+  const UpstreamTable table = MakeTable(4);
+  std::vector<std::unique_ptr<RunningRequest>> running;
+  const SelectionSettings settings;
+  for (std::uint64_t request = 0; request < 200; ++request) {
+    const Prompt prompt = ChatPrompt(request % 3 == 0 ? 1 : request, request, 500);
+    const Selection selection = SelectUpstream(table, settings, EngineQuestion(prompt));
+    const Candidate& chosen = selection.candidates.front();
+    const double mean = static_cast<double>(request) / 12;
+    BOOST_TEST(chosen.running <= settings.load_factor * mean + settings.load_slack);
+    running.push_back(std::make_unique<RunningRequest>(chosen.row, chosen.uncached_tokens));
+    running.back()->NotePromptRead();
+  }
+}
+
+// Pattern: a burst of long new prompts. Prompts wait for each other in an
+// engine, so they go where the fewest tokens wait, not where the fewest requests run.
+BOOST_AUTO_TEST_CASE(WaitingPromptTokensCountMoreThanRunningRequests) {
+  const UpstreamTable table = MakeTable(1);
+  std::vector<std::unique_ptr<RunningRequest>> running;
+  const auto add = [&](const std::string& id, std::uint32_t tokens, int count) {
+    for (int index = 0; index < count; ++index) {
+      running.push_back(std::make_unique<RunningRequest>(table.rows.at(id), tokens));
+    }
+  };
+  add("a0", 30'000, 1);
+  add("b0", 30'000, 1);
+  add("c0", 0, 2);
+  Prompt prompt;
+  prompt.parts = {{1, 9000}};
+  prompt.input_tokens = 9000;
+  BOOST_TEST(Chosen(table, EngineQuestion(prompt)) == "c0");
+}
+
+// Guards against work for an upstream that leaves, was removed, or whose failure
+// domain the operators took out.
+BOOST_AUTO_TEST_CASE(DrainingRemovedAndOutOfServiceUpstreamsGetNothing) {
+  UpstreamTable table = MakeTable(1);
+  UpstreamListing draining = test::Listing("a0", "a");
+  draining.draining = true;
+  ApplyListing(table, draining, kStart);
+  RemoveUpstream(table, "b0");
+  table.domains_out.insert("c");
+  const Selection selection =
+      SelectUpstream(table, SelectionSettings{}, EngineQuestion(ChatPrompt(1, 1)));
+  BOOST_TEST(selection.candidates.empty());
+  BOOST_CHECK(selection.failure == SelectionFailure::kNoneInService);
+  table.domains_out.erase("c");
+  BOOST_TEST(Chosen(table, EngineQuestion(ChatPrompt(1, 1))) == "c0");
+}
+
+// Pattern: a failure domain is cut off. Chats whose home is there move to
+// upstreams that can be reached, also while the list still names all.
+BOOST_AUTO_TEST_CASE(ChatsLeaveASilentDomain) {
+  UpstreamTable table = MakeTable(4);
+  table.domains_silent = {"b", "c"};
+  for (std::uint64_t chat = 0; chat < 30; ++chat) {
+    const std::string chosen = Chosen(table, EngineQuestion(ChatPrompt(chat, chat, 500), "a"));
+    BOOST_TEST(chosen.starts_with("a"));
+  }
+}
+
+// Pattern: some requests fail at every upstream. That alone must not push work
+// out of the failure domain.
+BOOST_AUTO_TEST_CASE(AFailureRateCommonToAllUpstreamsChangesNothing) {
+  UpstreamTable table = MakeTable(1, 6);
+  SelectionQuestion question = EngineQuestion({});
+  question.is_engine = false;
+  const std::string before = Chosen(table, question);
+  for (const auto& [id, row] : table.rows) {
+    for (int failures = 0; failures < 5; ++failures) {
+      NoteAttemptFailed(row->health, kStart);
+    }
+  }
+  BOOST_TEST(before == "a0");
+  BOOST_TEST(Chosen(table, question) == before);
+  for (const auto& [id, row] : table.rows) {
+    row->health = {};
+  }
+  for (int failures = 0; failures < 5; ++failures) {
+    NoteAttemptFailed(table.rows.at("a0")->health, kStart);
+  }
+  BOOST_TEST(Chosen(table, question) != before);
+}
+
+// Pattern: an upstream that refuses connections. It is tried again after a pause,
+// and at once when there is no other.
+BOOST_AUTO_TEST_CASE(AnUnreachableUpstreamIsTheLastResort) {
+  UpstreamTable table = MakeTable(1, 6);
+  SelectionQuestion question = EngineQuestion({});
+  question.is_engine = false;
+  NoteConnectFailed(table.rows.at("a0")->health, kStart);
+  BOOST_TEST(Chosen(table, question) != "a0");
+  question.now = kStart + 1s;
+  BOOST_TEST(Chosen(table, question) == "a0");
+  question.now = kStart;
+  const std::vector<std::string> tried{"b0", "c0"};
+  question.tried = tried;
+  BOOST_TEST(Chosen(table, question) == "a0");
+}
+
+// Pattern: all upstreams of a service are cold at once. The limit of each holds
+// for the sum of all instances, and a chat goes to another upstream or is refused.
+BOOST_AUTO_TEST_CASE(ColdUpstreamsGetNoMoreThanTheirShare) {
+  UpstreamTable table = MakeTable(1);
+  for (const auto& [id, row] : table.rows) {
+    row->cold_until = kStart + 3s;
+  }
+  SelectionSettings settings;
+  settings.cold.factor = 1.5;
+  settings.cold.slack = 5;
+  SelectionQuestion question = EngineQuestion(ChatPrompt(1, 1));
+  question.cold_requests_per_second = 10;
+  question.instances = 6;
+  std::map<std::string, int> sent;
+  for (int request = 0; request < 40; ++request) {
+    const Selection selection = SelectUpstream(table, settings, question);
+    if (selection.candidates.empty()) {
+      BOOST_CHECK(selection.failure == SelectionFailure::kAllCold);
+      break;
+    }
+    Upstream& upstream = *selection.candidates.front().row;
+    upstream.cold_sends.times.push_back(question.now);
+    ++sent[upstream.listing.id];
+  }
+  BOOST_TEST(sent.size() == 3U);
+  for (const auto& [id, count] : sent) {
+    BOOST_TEST(count * 6 <= 20);
+  }
+}
+
+// Pattern: a plain service with few places. A full upstream is passed over.
+BOOST_AUTO_TEST_CASE(PlainRequestsGoToFreePlaces) {
+  UpstreamTable table = MakeTable(1, 6);
+  SelectionQuestion question = EngineQuestion({});
+  question.is_engine = false;
+  std::vector<std::unique_ptr<RunningRequest>> running;
+  std::map<std::string, int> placed;
+  for (int request = 0; request < 18; ++request) {
+    const Selection selection = SelectUpstream(table, SelectionSettings{}, question);
+    running.push_back(std::make_unique<RunningRequest>(selection.candidates.front().row, 0));
+    ++placed[selection.candidates.front().row->listing.id];
+  }
+  for (const auto& [id, count] : placed) {
+    BOOST_TEST(count <= 8, id << " holds " << count);
+  }
+}
+
+}  // namespace
+}  // namespace geraniumspread::dispatch
--- /dev/null
+++ b/src/dispatch/tests/test_tables.h
@@ -0,0 +1,63 @@
+#ifndef DISPATCH_TESTS_TEST_TABLES_H_
+#define DISPATCH_TESTS_TEST_TABLES_H_
+
+#include <string>
+
+#include "dispatch/selection.h"
+#include "dispatch/upstream_table.h"
+
+namespace geraniumspread::dispatch::test {
+
+inline constexpr TimePoint kStart{std::chrono::hours(1)};
+
+inline UpstreamListing Listing(const std::string& id,
+                               const std::string& domain,
+                               std::uint32_t slots = 96) {
+  UpstreamListing listing;
+  listing.id = id;
+  listing.service = "model";
+  listing.address = "127.0.0.1:1";
+  listing.failure_domain = domain;
+  listing.slots = slots;
+  listing.started_at_ms = 1;
+  return listing;
+}
+
+// `per_domain` upstreams in each of the domains a, b and c.
+inline UpstreamTable MakeTable(int per_domain, std::uint32_t slots = 96) {
+  UpstreamTable table;
+  for (const char* domain : {"a", "b", "c"}) {
+    for (int index = 0; index < per_domain; ++index) {
+      ApplyListing(table, Listing(domain + std::to_string(index), domain, slots), kStart);
+    }
+  }
+  return table;
+}
+
+// A prompt of a common first part, a chat and a last part of its own.
+inline Prompt ChatPrompt(std::uint64_t chat,
+                         std::uint64_t request,
+                         std::uint32_t chat_tokens = 6000) {
+  constexpr std::uint32_t kCommonTokens = 2500;
+  constexpr std::uint32_t kOwnTokens = 580;
+  Prompt prompt;
+  prompt.parts = {
+      {7, kCommonTokens}, {1000 + chat, chat_tokens}, {1'000'000 + request, kOwnTokens}};
+  prompt.input_tokens = kCommonTokens + chat_tokens + kOwnTokens;
+  prompt.max_output_tokens = 50;
+  return prompt;
+}
+
+inline SelectionQuestion EngineQuestion(const Prompt& prompt, const std::string& domain = "a") {
+  SelectionQuestion question;
+  question.service = "model";
+  question.is_engine = true;
+  question.prompt = prompt;
+  question.own_domain = domain == "b" ? "b" : domain == "c" ? "c" : "a";
+  question.now = kStart;
+  return question;
+}
+
+}  // namespace geraniumspread::dispatch::test
+
+#endif  // DISPATCH_TESTS_TEST_TABLES_H_
--- /dev/null
+++ b/src/dispatch/tests/upstream_table_test.cc
@@ -0,0 +1,114 @@
+#include "dispatch/upstream_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "common/hash.h"
+#include "dispatch/tests/test_tables.h"
+
+namespace geraniumspread::dispatch {
+namespace {
+
+using namespace std::chrono_literals;
+using test::kStart;
+using test::Listing;
+
+// Guards against beliefs about a process that has been replaced under its id.
+BOOST_AUTO_TEST_CASE(ARestartUnderTheSameIdForgetsWhatTheOldProcessKept) {
+  UpstreamTable table;
+  ApplyListing(table, Listing("a", "x"), kStart);
+  RememberPrompt(table.rows.at("a")->memory, test::ChatPrompt(1, 1), 100'000);
+  UpstreamListing restarted = Listing("a", "x");
+  restarted.started_at_ms = 2;
+  BOOST_CHECK(ApplyListing(table, restarted, kStart) == ListingChange::kRestarted);
+  BOOST_TEST(table.rows.at("a")->memory.tokens == 0U);
+  BOOST_TEST(table.by_service.at("model").size() == 1U);
+}
+
+// Guards against the loss of a request's count when its upstream is removed meanwhile.
+BOOST_AUTO_TEST_CASE(ARemovedRowOutlivesItsRequests) {
+  UpstreamTable table;
+  ApplyListing(table, Listing("a", "x"), kStart);
+  {
+    const RunningRequest running(table.rows.at("a"), 10);
+    RemoveUpstream(table, "a");
+  }
+  BOOST_TEST(table.by_service.empty());
+}
+
+// Pattern: entries expire while the store is away and come back with it.
+BOOST_AUTO_TEST_CASE(AHeldRemovalIsUndoneByANewListing) {
+  UpstreamTable table;
+  ApplyListing(table, Listing("a", "x"), kStart);
+  ApplyListing(table, Listing("b", "x"), kStart);
+  HoldRemoval(table, "a", kStart + 2s);
+  HoldRemoval(table, "b", kStart + 2s);
+  BOOST_TEST(TakesNewWork(table, *table.rows.at("a")));
+  ApplyListing(table, Listing("a", "x"), kStart + 1s);
+  const std::vector<std::string> removed = ExpireRemovals(table, kStart + 2s);
+  BOOST_TEST(removed == std::vector<std::string>{"b"}, boost::test_tools::per_element());
+  BOOST_TEST(table.rows.contains("a"));
+}
+
+// Guards against load counted from one source only: peers lag, reports age.
+BOOST_AUTO_TEST_CASE(EstimatedLoadIsTheHigherOfCountsAndFreshReport) {
+  UpstreamTable table;
+  ApplyListing(table, Listing("a", "x"), kStart);
+  Upstream& upstream = *table.rows.at("a");
+  table.remote[StableHash("a")] = {3, 0};
+  const RunningRequest running(table.rows.at("a"), 0);
+  BOOST_TEST(EstimatedRunning(table, upstream, kStart) == 4U);
+  upstream.report = LoadReport{9, 1, kStart, 1};
+  BOOST_TEST(EstimatedRunning(table, upstream, kStart + 100ms) == 10U);
+  BOOST_TEST(EstimatedRunning(table, upstream, kStart + 2s) == 4U);
+}
+
+// Guards against an upstream that is shunned for good after it has recovered.
+BOOST_AUTO_TEST_CASE(AFailureRateFadesWithTime) {
+  UpstreamHealth health;
+  for (int failures = 0; failures < 10; ++failures) {
+    NoteAttemptFailed(health, kStart);
+  }
+  BOOST_TEST(FailureRate(health, kStart) > 0.8);
+  BOOST_TEST(FailureRate(health, kStart + 20s) < 0.05);
+}
+
+BOOST_AUTO_TEST_CASE(FailedConnectsAreAvoidedForLongerEachTime) {
+  UpstreamHealth health;
+  NoteConnectFailed(health, kStart);
+  const Duration first = health.avoid_until - kStart;
+  NoteConnectFailed(health, kStart);
+  BOOST_TEST((health.avoid_until - kStart > first));
+  for (int failures = 0; failures < 100; ++failures) {
+    NoteConnectFailed(health, kStart);
+  }
+  BOOST_TEST((health.avoid_until - kStart <= 10s));
+  NoteAttemptSucceeded(health, kStart);
+  BOOST_TEST((health.avoid_until <= kStart));
+}
+
+// Guards against a memory of prompts that grows beyond what an engine keeps.
+BOOST_AUTO_TEST_CASE(OldPromptsYieldFirst) {
+  PromptMemory memory;
+  constexpr std::uint64_t kCapacity = 20'000;
+  for (std::uint64_t chat = 0; chat < 10; ++chat) {
+    RememberPrompt(memory, test::ChatPrompt(chat, chat), kCapacity);
+    BOOST_TEST(memory.tokens <= kCapacity);
+  }
+  BOOST_TEST(UncachedSharedTokens(memory, test::ChatPrompt(9, 99)) == 0U);
+  BOOST_TEST(UncachedSharedTokens(memory, test::ChatPrompt(0, 98)) == 6000U);
+}
+
+// A part is cached only when all parts before it are.
+BOOST_AUTO_TEST_CASE(APartBehindAnUnknownPartIsUnread) {
+  PromptMemory memory;
+  Prompt known;
+  known.parts = {{1, 100}, {2, 200}, {3, 10}};
+  known.input_tokens = 310;
+  RememberPrompt(memory, known, 1000);
+  Prompt other = known;
+  other.parts.front().id = 9;
+  BOOST_TEST(UncachedTokens(memory, other) == 310U);
+}
+
+}  // namespace
+}  // namespace geraniumspread::dispatch
