Let two instances of a failure domain read the store for the others

Two instances of each failure domain follow the store and the others copy from them; an instance reads itself when too few readers are heard for 700 ms or it lacks changes for 600 ms. In a fleet of 69 the digests reached a given peer too rarely: lifetimes now grow with the interval at which digests are expected, and readers send to their whole domain.

--- a/apps/geranium_edge/main.cc
+++ b/apps/geranium_edge/main.cc
@@ -111,6 +111,7 @@
     edge.OnPublishedChanges(std::move(changes), revision);
   };
   events.on_reachable = [&edge](bool reachable) { edge.OnFeedReachable(reachable); };
+  events.should_read = [&edge] { return edge.ShouldReadStore(); };
   events.revision = [&edge] { return edge.PublishedRevision(); };
   return events;
 }
--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -42,6 +42,18 @@
   return peer.counts_load ? PeerChange::kNone : PeerChange::kReturned;
 }
 
+std::size_t CountPeers(const PeerTable& peers, bool near) {
+  return static_cast<std::size_t>(std::ranges::count_if(peers.peers, [&](const auto& entry) {
+    return (entry.second.digest.failure_domain == peers.self_domain) == near;
+  }));
+}
+
+// How many digests a peer sends between two that come here.
+double IntervalsBetween(const PeerTable& peers, bool near, std::size_t targets) {
+  return std::max(1.0, static_cast<double>(CountPeers(peers, near)) /
+                           static_cast<double>(std::max<std::size_t>(targets, 1)));
+}
+
 void Shuffle(std::vector<std::string>& addresses, std::size_t count, std::mt19937_64& random) {
   std::ranges::shuffle(addresses, random);
   addresses.resize(std::min(addresses.size(), count));
@@ -97,17 +109,28 @@
 std::vector<std::string> UpdateDomainSilence(const PeerTable& peers,
                                              UpstreamTable& upstreams,
                                              TimePoint now) {
-  // The newest digest of each other failure domain.
-  std::map<std::string, TimePoint> heard;
+  struct DomainDigests {
+    TimePoint newest;
+    std::size_t instances = 0;
+  };
+  std::map<std::string, DomainDigests> heard;
   for (const auto& [address, peer] : peers.peers) {
     if (!peer.digest.leaving && peer.digest.failure_domain != peers.self_domain) {
-      TimePoint& newest = heard[peer.digest.failure_domain];
-      newest = std::max(newest, peer.heard_at);
+      DomainDigests& digests = heard[peer.digest.failure_domain];
+      digests.newest = std::max(digests.newest, peer.heard_at);
+      ++digests.instances;
     }
   }
   std::vector<std::string> turned_silent;
-  for (const auto& [domain, newest] : heard) {
-    const bool is_silent = newest + peers.settings.domain_silence < now;
+  const double intervals = IntervalsBetween(peers, false, peers.settings.remote_targets);
+  for (const auto& [domain, digests] : heard) {
+    const bool is_sampled = intervals > 1;
+    const double expected = is_sampled ? intervals / static_cast<double>(digests.instances) : 0;
+    const Duration silence(
+        static_cast<Duration::rep>(static_cast<double>(peers.settings.interval.count()) * expected *
+                                   peers.settings.domain_silence_intervals));
+    const bool is_silent =
+        digests.newest + std::max(silence, peers.settings.min_domain_silence) < now;
     if (!is_silent) {
       upstreams.domains_silent.erase(domain);
     } else if (upstreams.domains_silent.insert(domain).second) {
@@ -118,6 +141,7 @@
 }
 
 std::vector<std::string> DigestTargets(const PeerTable& peers,
+                                       bool reads_store,
                                        std::mt19937_64& random,
                                        TimePoint now) {
   std::vector<std::string> near;
@@ -130,7 +154,9 @@
   for (const auto& [address, named_at] : peers.named) {
     far.push_back(address);
   }
-  Shuffle(near, peers.settings.domain_targets, random);
+  if (!reads_store) {
+    Shuffle(near, peers.settings.domain_targets, random);
+  }
   Shuffle(far, peers.settings.remote_targets, random);
   near.insert(near.end(), far.begin(), far.end());
   return near;
@@ -150,7 +176,13 @@
 }
 
 bool IsLive(const PeerTable& peers, const Peer& peer, TimePoint now) {
-  return peer.heard_at + peers.settings.load_lifetime >= now;
+  const bool is_near = peer.digest.failure_domain == peers.self_domain;
+  const std::size_t targets =
+      is_near ? peers.settings.domain_targets : peers.settings.remote_targets;
+  const double interval = static_cast<double>(peers.settings.interval.count()) *
+                          IntervalsBetween(peers, is_near, targets);
+  const Duration lifetime(static_cast<Duration::rep>(interval * peers.settings.lifetime_intervals));
+  return peer.heard_at + std::max(lifetime, peers.settings.min_lifetime) >= now;
 }
 
 std::size_t KnownInstances(const PeerTable& peers) {
@@ -181,6 +213,17 @@
   return best;
 }
 
+bool ShouldReadStore(const PeerTable& peers, TimePoint now) {
+  const std::uint64_t own = StableHash(peers.self_address);
+  const auto earlier_readers = std::ranges::count_if(peers.peers, [&](const auto& entry) {
+    const auto& [address, peer] = entry;
+    return peer.digest.failure_domain == peers.self_domain && peer.digest.reads_store &&
+           !peer.digest.leaving && peer.heard_at + peers.settings.reader_lifetime >= now &&
+           StableHash(address) < own;
+  });
+  return static_cast<std::size_t>(earlier_readers) < peers.settings.store_readers;
+}
+
 std::vector<UpstreamLoad> OwnLoads(const UpstreamTable& upstreams) {
   std::vector<UpstreamLoad> loads;
   for (const auto& [id, row] : upstreams.rows) {
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -124,9 +124,9 @@
       candidate.uncached_tokens =
           question.prompt.input_tokens - std::min(shared, question.prompt.input_tokens);
     }
-    candidate.cost_ms = question.is_engine
-                            ? EngineCost(table, settings, question.prompt, candidate, &upstream == home)
-                            : PlainCost(candidate);
+    candidate.cost_ms = question.is_engine ? EngineCost(table, settings, question.prompt, candidate,
+                                                        &upstream == home)
+                                           : PlainCost(candidate);
     if (upstream.listing.failure_domain != question.own_domain) {
       candidate.cost_ms +=
           settings.cross_domain_ms + kilobytes * settings.cross_domain_ms_per_kilobyte;
@@ -134,8 +134,7 @@
     if (table.domains_silent.contains(upstream.listing.failure_domain)) {
       candidate.cost_ms += settings.silent_domain_ms;
     }
-    candidate.cost_ms +=
-        (FailureRate(upstream.health, question.now) - usual_failures) * kFailureMs;
+    candidate.cost_ms += (FailureRate(upstream.health, question.now) - usual_failures) * kFailureMs;
     if (const double excess = candidate.running + 1 - bound; excess > 0) {
       candidate.cost_ms += kOverBoundMs + excess * kOverBoundMsPerRequest;
     }
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -31,17 +31,25 @@
   bool leaving = false;
   // Revision of the published state that the sender has.
   std::uint64_t published_revision = 0;
+  // The sender follows the platform's store itself and reached it lately.
+  bool reads_store = false;
   std::vector<UpstreamLoad> loads;
   // Addresses of some other live instances.
   std::vector<std::string> known_addresses;
 };
 
 struct PeerSettings {
-  // Loads of a peer count for this long after its last digest.
-  Duration load_lifetime = std::chrono::milliseconds(1500);
-  // A failure domain seems cut off once all its live instances are silent for this
-  // long: two digests in a row are missing.
-  Duration domain_silence = std::chrono::milliseconds(500);
+  // Time between the digests of one instance; an engine's own load report is
+  // about as old.
+  Duration interval = std::chrono::milliseconds(200);
+  // A peer is silent, and its load no longer counts, after this time and after as
+  // many times the interval at which its digests are expected here.
+  Duration min_lifetime = std::chrono::milliseconds(1500);
+  double lifetime_intervals = 6;
+  // A failure domain seems cut off once no digest of it came for this time and
+  // for as many times the interval at which one is expected.
+  Duration min_domain_silence = std::chrono::milliseconds(500);
+  double domain_silence_intervals = 10;
   // A silent peer is still counted as an instance for this long: it may work on
   // behind a cut.
   Duration memory = std::chrono::seconds(60);
@@ -50,6 +58,14 @@
   // Other peers that get one digest.
   std::size_t remote_targets = 4;
   std::size_t shared_addresses = 6;
+  // Instances of a failure domain that follow the store; the others copy from
+  // them. Each call to the store has its price, and its rate is shared.
+  std::size_t store_readers = 2;
+  // A reader that was not heard for this long does not count.
+  Duration reader_lifetime = std::chrono::milliseconds(700);
+  // An instance that lacks changes for this long although a peer has them reads
+  // the store itself.
+  Duration max_behind = std::chrono::milliseconds(600);
 };
 
 struct Peer {
@@ -78,8 +94,10 @@
 // Drops the loads of silent peers and forgets old ones. Returns the instances
 // that turned silent.
 std::vector<std::string> ExpirePeers(PeerTable& peers, UpstreamTable& upstreams, TimePoint now);
-// Addresses for the next digest.
+// Addresses for the next digest. An instance that reads the store sends to its
+// whole failure domain, so that the others know in time when it is gone.
 std::vector<std::string> DigestTargets(const PeerTable& peers,
+                                       bool reads_store,
                                        std::mt19937_64& random,
                                        TimePoint now);
 std::vector<std::string> SharedAddresses(const PeerTable& peers,
@@ -97,6 +115,9 @@
 // The live peer that is furthest ahead of `revision`, those of the own failure
 // domain first; null when none is.
 const Peer* PeerAhead(const PeerTable& peers, std::uint64_t revision, TimePoint now);
+// Whether this instance has to follow the store itself: it comes early in the
+// order of its failure domain, or too few that come earlier do.
+bool ShouldReadStore(const PeerTable& peers, TimePoint now);
 std::vector<UpstreamLoad> OwnLoads(const UpstreamTable& upstreams);
 
 }  // namespace geraniumspread::dispatch
--- a/src/dispatch/tests/peer_table_test.cc
+++ b/src/dispatch/tests/peer_table_test.cc
@@ -87,7 +87,7 @@
     ApplyDigest(peers, upstreams, digest, kStart);
   }
   std::mt19937_64 random(1);
-  BOOST_TEST(DigestTargets(peers, random, kStart).size() <= 12U);
+  BOOST_TEST(DigestTargets(peers, false, random, kStart).size() <= 12U);
   BOOST_TEST(SharedAddresses(peers, random, kStart).size() <= 6U);
 }
 
@@ -107,6 +107,47 @@
   BOOST_TEST(PeerAhead(peers, 9, kStart) == nullptr);
 }
 
+// Guards against a store that is asked by every instance of a large fleet, and
+// against a fleet in which the last reader died and nobody took over.
+BOOST_AUTO_TEST_CASE(AFewInstancesOfADomainReadTheStore) {
+  constexpr int kInstances = 30;
+  const auto readers_without = [](std::vector<int> dead) {
+    std::vector<bool> reads(kInstances, true);
+    // Each round every live instance hears who read in the round before.
+    for (int round = 0; round < kInstances; ++round) {
+      std::vector<bool> next(kInstances, false);
+      for (int self = 0; self < kInstances; ++self) {
+        PeerTable peers = MakePeers();
+        peers.self_address = "10.0.0." + std::to_string(self);
+        UpstreamTable upstreams;
+        for (int other = 0; other < kInstances; ++other) {
+          if (other == self || std::ranges::count(dead, other) > 0) {
+            continue;
+          }
+          PeerDigest digest = Digest("10.0.0." + std::to_string(other), 1, 0);
+          digest.failure_domain = "a";
+          digest.reads_store = reads[other];
+          ApplyDigest(peers, upstreams, digest, kStart);
+        }
+        next[self] = std::ranges::count(dead, self) == 0 && ShouldReadStore(peers, kStart);
+      }
+      reads = next;
+    }
+    std::vector<int> readers;
+    for (int index = 0; index < kInstances; ++index) {
+      if (reads[index]) {
+        readers.push_back(index);
+      }
+    }
+    return readers;
+  };
+  const std::vector<int> readers = readers_without({});
+  BOOST_TEST(readers.size() == 2U);
+  const std::vector<int> after_loss = readers_without(readers);
+  BOOST_TEST(after_loss.size() == 2U);
+  BOOST_TEST(std::ranges::count(after_loss, readers.front()) == 0);
+}
+
 // An instance that was named by a peer is greeted, and dropped when it stays silent.
 BOOST_AUTO_TEST_CASE(NamedInstancesAreGreetedForAWhile) {
   PeerTable peers = MakePeers();
@@ -115,7 +156,7 @@
   digest.known_addresses = {"10.0.0.1", "10.0.0.7"};
   ApplyDigest(peers, upstreams, digest, kStart);
   std::mt19937_64 random(1);
-  BOOST_TEST(std::ranges::count(DigestTargets(peers, random, kStart), "10.0.0.7") == 1);
+  BOOST_TEST(std::ranges::count(DigestTargets(peers, false, random, kStart), "10.0.0.7") == 1);
   ExpirePeers(peers, upstreams, kStart + 11s);
   BOOST_TEST(peers.named.empty());
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -38,6 +38,8 @@
   void OnPublishedState(std::vector<dispatch::PublishedItem> items, std::uint64_t revision);
   void OnFeedReachable(bool reachable);
   std::uint64_t PublishedRevision() const;
+  // False while enough other instances follow the feed and this one copies from them.
+  bool ShouldReadStore();
 
  private:
   std::shared_ptr<detail::EdgeState> state;
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -19,8 +19,6 @@
 using observability::LogEvent;
 using observability::LogLevel;
 
-// Loads are exchanged this often; an engine's own report is about as old.
-constexpr Duration kTickInterval = std::chrono::milliseconds(200);
 // A gap this long between ticks means that the process stood still.
 constexpr Duration kFreezeThreshold = std::chrono::milliseconds(700);
 // After SIGTERM the platform sends no new connections once it has seen two
@@ -75,7 +73,7 @@
 void Tick(const Edge& edge);
 
 void ScheduleTick(const Edge& edge) {
-  edge->tick_timer.expires_after(kTickInterval);
+  edge->tick_timer.expires_after(edge->peers.settings.interval);
   edge->tick_timer.async_wait([edge](const boost::system::error_code& error) {
     if (!error) {
       Tick(edge);
@@ -89,8 +87,8 @@
        dispatch::ExpirePeers(edge->peers, edge->upstreams, RuntimeClock::now())) {
     LogEvent(LogLevel::kInfo, "peer", {{"peer", peer}, {"change", "silent"}});
   }
-  for (const std::string& domain : dispatch::UpdateDomainSilence(
-           edge->peers, edge->upstreams, RuntimeClock::now())) {
+  for (const std::string& domain :
+       dispatch::UpdateDomainSilence(edge->peers, edge->upstreams, RuntimeClock::now())) {
     LogEvent(LogLevel::kWarn, "failure_domain_silent", {{"failure_domain", domain}});
     LeaveDomain(*edge, domain);
   }
@@ -239,6 +237,21 @@
   return this->state->published.revision;
 }
 
+bool Edge::ShouldReadStore() {
+  detail::EdgeState& edge = *this->state;
+  const TimePoint now = RuntimeClock::now();
+  const bool is_left_behind =
+      edge.behind_since && *edge.behind_since + edge.peers.settings.max_behind < now;
+  const bool reads = is_left_behind || dispatch::ShouldReadStore(edge.peers, now);
+  if (reads != edge.reads_store) {
+    observability::LogEvent(
+        observability::LogLevel::kInfo, "store_reading",
+        {{"reads", reads}, {"left_behind", is_left_behind}, {"revision", edge.published.revision}});
+    edge.reads_store = reads;
+  }
+  return reads;
+}
+
 void Edge::OnFeedReachable(bool reachable) {
   if (this->state->feed_reachable && !reachable) {
     observability::LogEvent(observability::LogLevel::kWarn, "store_lost",
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -49,6 +49,7 @@
   // When the store was last out of reach; removals soon after may be undone.
   std::optional<TimePoint> feed_lost_at;
   bool feed_reachable = false;
+  bool reads_store = true;
   // Since when a peer has had newer published state than this instance.
   std::optional<TimePoint> behind_since;
   bool pulling = false;
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -33,6 +33,7 @@
                                       {"domain", digest.failure_domain},
                                       {"leaving", digest.leaving},
                                       {"revision", digest.published_revision},
+                                      {"reads_store", digest.reads_store},
                                       {"loads", std::move(loads)},
                                       {"known", std::move(addresses)}});
 }
@@ -49,6 +50,7 @@
     digest.failure_domain = object.at("domain").as_string();
     digest.leaving = object.at("leaving").as_bool();
     digest.published_revision = object.at("revision").to_number<std::uint64_t>();
+    digest.reads_store = object.at("reads_store").as_bool();
     for (const json::value& load : object.at("loads").as_array()) {
       const json::array& row = load.as_array();
       digest.loads.push_back({row.at(0).to_number<std::uint64_t>(),
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -51,6 +51,7 @@
   digest.failure_domain = edge.settings.failure_domain;
   digest.leaving = edge.stopping;
   digest.published_revision = edge.published.revision;
+  digest.reads_store = edge.feed_reachable && edge.reads_store;
   digest.loads = dispatch::OwnLoads(edge.upstreams);
   digest.known_addresses = dispatch::SharedAddresses(edge.peers, edge.random, RuntimeClock::now());
   return digest;
@@ -138,7 +139,7 @@
 void SendDigests(EdgeState& edge) {
   const std::string bytes = EncodeDigest(MakeDigest(edge));
   std::vector<std::string> targets =
-      dispatch::DigestTargets(edge.peers, edge.random, RuntimeClock::now());
+      dispatch::DigestTargets(edge.peers, edge.reads_store, edge.random, RuntimeClock::now());
   for (const std::string& seed : edge.settings.seed_addresses) {
     const bool is_peer = edge.peers.peers.contains(seed) || seed == edge.settings.address;
     if (!is_peer) {
