--- /dev/null
+++ b/src/edge/tests/edge_fixture.cc
@@ -0,0 +1,329 @@
+#include "edge/tests/edge_fixture.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+
+#include "transport/test_support/free_port.h"
+
+namespace geraniumspread::edge::test {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using transport::FindHeader;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint16_t kFirstPort = 21500;
+
+// The platform of these tests: headers with short names, items with ready values.
+ResultOf<CallerRequest, RequestError> DecodeRequest(HttpRequest raw) {
+  CallerRequest request;
+  request.id = FindHeader(raw.headers, "X-Id");
+  if (request.id.empty()) {
+    return RequestError{400, "no_id", "no id"};
+  }
+  request.host = FindHeader(raw.headers, "Host");
+  request.api_key = FindHeader(raw.headers, "X-Key");
+  const std::string_view deadline = FindHeader(raw.headers, "X-Deadline-Ms");
+  if (!deadline.empty()) {
+    int milliseconds = 0;
+    std::from_chars(deadline.data(), deadline.data() + deadline.size(), milliseconds);
+    request.deadline = std::chrono::milliseconds(milliseconds);
+  }
+  request.forwarded_headers = {{"X-Id", request.id}};
+  request.method = raw.method;
+  request.target = raw.target;
+  request.body = raw.body;
+  return request;
+}
+
+HttpRequest EncodeRequest(const CallerRequest& request, const UpstreamCall& call) {
+  HttpRequest encoded(request.method, request.target, request.forwarded_headers, request.body);
+  encoded.headers.push_back({"X-Expect", std::string(call.upstream)});
+  if (call.resume_after) {
+    encoded.headers.push_back({"X-Resume-After", std::to_string(*call.resume_after)});
+  }
+  return encoded;
+}
+
+UpstreamAnswer DecodeAnswer(const HttpResponse& response) {
+  UpstreamAnswer answer;
+  answer.echoed_request_id = FindHeader(response.headers, "X-Id");
+  answer.is_sealed = !FindHeader(response.headers, "X-Seal").empty();
+  answer.not_run = !FindHeader(response.headers, "X-Not-Run").empty();
+  answer.wrong_upstream = response.status == 421;
+  answer.caller_headers = response.headers;
+  return answer;
+}
+
+HttpResponse EncodeRefusal(const Refusal& refusal, std::string_view /*request_id*/) {
+  HttpResponse response(refusal.status);
+  response.headers.push_back({"X-Code", std::string(refusal.code)});
+  response.headers.push_back({"X-Ran", std::string(ToString(refusal.ran))});
+  if (refusal.retry_after.count() > 0) {
+    response.headers.push_back({"Retry-After", "1"});
+  }
+  return response;
+}
+
+dispatch::Route MakeRoute(const std::string& prefix, dispatch::Repeatability repeatability) {
+  dispatch::Route route;
+  route.name = prefix;
+  route.host = "127.0.0.1";
+  route.path_prefix = prefix;
+  route.repeatability = repeatability;
+  route.is_stream = prefix.starts_with("/stream") || prefix.starts_with("/resume");
+  route.is_public = prefix == "/open/";
+  route.timeout = std::chrono::seconds(2);
+  route.latency_goal = std::chrono::milliseconds(100);
+  route.pause_goal = std::chrono::milliseconds(100);
+  route.max_attempts = repeatability == dispatch::Repeatability::kNonRepeatable ? 1 : 2;
+  route.services = {{"app", 1}};
+  return route;
+}
+
+PublishedChange DecodeItem(const dispatch::PublishedItem& item) {
+  if (item.key == "config") {
+    dispatch::RoutingConfig config;
+    config.version = item.revision;
+    using dispatch::Repeatability;
+    for (const auto& [prefix, repeatability] :
+         {std::pair("/lookup/", Repeatability::kRepeatable),
+          std::pair("/order/", Repeatability::kNonRepeatable),
+          std::pair("/open/", Repeatability::kNonRepeatable),
+          std::pair("/stream/", Repeatability::kNonRepeatable),
+          std::pair("/resume/", Repeatability::kResumable)}) {
+      config.routes["127.0.0.1"][prefix] = MakeRoute(prefix, repeatability);
+    }
+    config.services["app"].name = "app";
+    config.keys["key"] = {"blue", std::nullopt};
+    config.has_workspaces = true;
+    return config;
+  }
+  if (item.removed) {
+    return UpstreamRemoved{item.key};
+  }
+  dispatch::UpstreamListing listing;
+  listing.id = item.key;
+  listing.service = "app";
+  listing.address = item.value;
+  listing.failure_domain = "a";
+  listing.slots = 8;
+  return listing;
+}
+
+PlatformCodec TestCodec() {
+  return {DecodeRequest, EncodeRequest, DecodeAnswer, EncodeRefusal, DecodeItem, "/ready"};
+}
+
+std::string WithId(std::string bytes, const std::string& request) {
+  const auto place = bytes.find("{id}");
+  const auto header = request.find("X-Id: ");
+  if (place == std::string::npos || header == std::string::npos) {
+    return bytes;
+  }
+  const auto end = request.find("\r\n", header);
+  return bytes.replace(place, 4, request.substr(header + 6, end - header - 6));
+}
+
+// The length of the whole request at the start of the bytes, 0 while it is not here.
+std::size_t RequestLength(const std::string& bytes) {
+  const auto end = bytes.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    return 0;
+  }
+  std::size_t body = 0;
+  if (const auto header = bytes.find("Content-Length: "); header < end) {
+    std::from_chars(bytes.data() + header + 16, bytes.data() + end, body);
+  }
+  return bytes.size() >= end + 4 + body ? end + 4 + body : 0;
+}
+
+}  // namespace
+
+Reply Sealed(const std::string& body, int status) {
+  return {"HTTP/1.1 " + std::to_string(status) +
+          " Status\r\nX-Id: {id}\r\nX-Seal: s\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\n\r\n" + body};
+}
+
+Reply NotRun() {
+  return {"HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+}
+
+Reply Events(int first, int last, bool whole) {
+  std::string bytes =
+      "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int id = first; id <= last; ++id) {
+    const std::string event =
+        "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+    std::array<char, 8> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), event.size(), 16);
+    bytes += std::string(size.data(), end.ptr) + "\r\n" + event + "\r\n";
+  }
+  if (whole) {
+    return {bytes + "0\r\n\r\n"};
+  }
+  return {bytes, Reply::Then::kReset};
+}
+
+Reply Silence() {
+  return {"", Reply::Then::kKeep, true};
+}
+
+RawUpstream::RawUpstream(asio::io_context& io, std::deque<Reply> replies)
+    : acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+      pending(std::move(replies)) {
+  asio::co_spawn(io, this->Accept(), asio::detached);
+}
+
+std::string RawUpstream::Address() const {
+  return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+}
+
+asio::awaitable<void> RawUpstream::Accept() {
+  while (true) {
+    auto [error, socket] = co_await this->acceptor.async_accept(kAwait);
+    if (error) {
+      co_return;
+    }
+    ++this->connections;
+    asio::co_spawn(this->acceptor.get_executor(), this->Serve(std::move(socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> RawUpstream::Serve(tcp::socket socket) {
+  std::string received;
+  std::array<char, 4096> chunk{};
+  while (true) {
+    const auto [error, count] = co_await socket.async_read_some(asio::buffer(chunk), kAwait);
+    if (error) {
+      ++this->closed_by_peer;
+      co_return;
+    }
+    received.append(chunk.data(), count);
+    const std::size_t length = RequestLength(received);
+    if (length == 0) {
+      continue;
+    }
+    this->requests.push_back(received.substr(0, length));
+    received.erase(0, length);
+    const Reply reply = this->pending.front();
+    if (this->pending.size() > 1) {
+      this->pending.pop_front();
+    }
+    if (reply.is_silent) {
+      continue;
+    }
+    const std::string bytes = WithId(reply.bytes, this->requests.back());
+    co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
+    if (reply.then == Reply::Then::kReset) {
+      socket.set_option(tcp::socket::linger(true, 0));
+    }
+    if (reply.then != Reply::Then::kKeep) {
+      co_return;
+    }
+  }
+}
+
+EdgeFixture::EdgeFixture() {
+  this->settings.instance = "edge-1";
+  this->settings.failure_domain = "a";
+  this->settings.address = "127.0.0.1";
+  this->settings.caller_endpoint = transport::FreeEndpoint(this->io, kFirstPort);
+  this->settings.readiness_endpoint = transport::FreeEndpoint(this->io, kFirstPort);
+  this->settings.peer_endpoint = transport::FreeEndpoint(this->io, kFirstPort);
+  this->settings.metrics_endpoint = transport::FreeEndpoint(this->io, kFirstPort);
+  this->settings.digest_port = transport::FreeEndpoint(this->io, kFirstPort).port;
+  this->settings.retries.slack = 100;
+  this->settings.stop_grace = std::chrono::milliseconds(3500);
+  this->edge = std::make_unique<Edge>(this->io, this->settings, TestCodec());
+  if (const auto started = this->edge->Start(); !started) {
+    throw std::runtime_error(started.error().message);
+  }
+}
+
+RawUpstream& EdgeFixture::AddUpstream(std::deque<Reply> replies) {
+  this->upstreams.push_back(std::make_unique<RawUpstream>(this->io, std::move(replies)));
+  RawUpstream& upstream = *this->upstreams.back();
+  ++this->revision;
+  this->edge->OnPublishedChanges(
+      {{"config", "", this->revision},
+       {"u" + std::to_string(this->upstreams.size()), upstream.Address(), this->revision + 1}},
+      this->revision + 1);
+  ++this->revision;
+  return upstream;
+}
+
+transport::Result<HttpResponse> EdgeFixture::Call(const std::string& target,
+                                                  transport::HttpHeaders headers,
+                                                  std::string body) {
+  static int next_id = 0;
+  transport::HttpConnectionPool pool(this->io.get_executor());
+  headers.push_back({"X-Id", "request-" + std::to_string(++next_id)});
+  if (FindHeader(headers, "X-Key").empty()) {
+    headers.push_back({"X-Key", "key"});
+  }
+  HttpRequest request("POST", target, std::move(headers), std::move(body));
+  std::optional<transport::Result<HttpResponse>> answer;
+  const auto fetch = [&]() -> asio::awaitable<void> {
+    answer = co_await transport::Fetch(pool, this->settings.caller_endpoint, std::move(request),
+                                       transport::ExchangeTimeouts{}, 1 << 20);
+  };
+  asio::co_spawn(this->io, fetch(), asio::detached);
+  this->io.restart();
+  while (!answer && this->io.run_one() > 0) {
+  }
+  return *answer;
+}
+
+std::string EdgeFixture::CallRaw(const std::string& bytes) {
+  std::string received;
+  bool is_done = false;
+  asio::steady_timer quiet(this->io);
+  const auto exchange = [&]() -> asio::awaitable<void> {
+    tcp::socket socket(this->io);
+    co_await socket.async_connect(
+        tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->settings.caller_endpoint.port),
+        kAwait);
+    quiet.expires_after(std::chrono::milliseconds(400));
+    quiet.async_wait([&socket](const boost::system::error_code& error) {
+      if (!error) {
+        socket.close();
+      }
+    });
+    co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
+    std::array<char, 4096> chunk{};
+    while (true) {
+      const auto [error, count] = co_await socket.async_read_some(asio::buffer(chunk), kAwait);
+      if (error) {
+        break;
+      }
+      received.append(chunk.data(), count);
+    }
+    quiet.cancel();
+    is_done = true;
+  };
+  asio::co_spawn(this->io, exchange(), asio::detached);
+  this->io.restart();
+  while (!is_done && this->io.run_one() > 0) {
+  }
+  return received;
+}
+
+void EdgeFixture::RunFor(std::chrono::milliseconds time) {
+  this->io.restart();
+  this->io.run_for(time);
+}
+
+}  // namespace geraniumspread::edge::test
--- /dev/null
+++ b/src/edge/tests/edge_test.cc
@@ -0,0 +1,280 @@
+#include "edge/edge.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "edge/tests/edge_fixture.h"
+
+namespace geraniumspread::edge {
+namespace {
+
+using namespace std::chrono_literals;
+using test::EdgeFixture;
+using test::Events;
+using test::NotRun;
+using test::RawUpstream;
+using test::Reply;
+using test::Sealed;
+using test::Silence;
+using transport::FindHeader;
+
+// Guards against a 404 from an instance that knows no configuration yet.
+BOOST_AUTO_TEST_CASE(WithoutAConfigurationRequestsAreRefusedForLater) {
+  EdgeFixture fixture;
+  const auto answer = fixture.Call("/order/1").value();
+  BOOST_TEST(answer.status == 503);
+  BOOST_TEST(FindHeader(answer.headers, "X-Ran") == "no");
+  BOOST_TEST(!FindHeader(answer.headers, "Retry-After").empty());
+}
+
+BOOST_AUTO_TEST_CASE(UnknownRoutesAndKeysReachNoUpstream) {
+  EdgeFixture fixture;
+  RawUpstream& upstream = fixture.AddUpstream({Sealed("whole")});
+  BOOST_TEST(fixture.Call("/nowhere/1").value().status == 404);
+  BOOST_TEST(fixture.Call("/order/1", {{"X-Key", "revoked"}}).value().status == 401);
+  BOOST_TEST(upstream.requests.empty());
+  BOOST_TEST(fixture.Call("/open/1", {{"X-Key", "revoked"}}).value().status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(AWholeAnswerIsPassedOnUnchanged) {
+  EdgeFixture fixture;
+  RawUpstream& upstream = fixture.AddUpstream({Sealed("whole")});
+  const auto answer = fixture.Call("/order/1?x=1").value();
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.body == "whole");
+  BOOST_TEST(FindHeader(answer.headers, "X-Seal") == "s");
+  BOOST_TEST_REQUIRE(upstream.requests.size() == 1U);
+  BOOST_TEST(upstream.requests.front().starts_with("POST /order/1?x=1 HTTP/1.1\r\n"));
+  BOOST_TEST(upstream.requests.front().ends_with("\r\n\r\norder"));
+}
+
+// Guards against an order that runs twice: after its bytes left, it is not sent again.
+BOOST_AUTO_TEST_CASE(AnOrderIsNotSentAgainAfterALostAnswer) {
+  EdgeFixture fixture;
+  RawUpstream& first = fixture.AddUpstream({{"", Reply::Then::kReset}});
+  RawUpstream& second = fixture.AddUpstream({{"", Reply::Then::kReset}});
+  const auto answer = fixture.Call("/order/1").value();
+  BOOST_TEST(answer.status == 502);
+  BOOST_TEST(FindHeader(answer.headers, "X-Ran") == "unknown");
+  BOOST_TEST(first.requests.size() + second.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ALookupIsSentAgainAfterALostAnswer) {
+  EdgeFixture fixture;
+  RawUpstream& first = fixture.AddUpstream({{"", Reply::Then::kReset}, Sealed("whole")});
+  RawUpstream& second = fixture.AddUpstream({Sealed("whole")});
+  BOOST_TEST(fixture.Call("/lookup/1").value().status == 200);
+  BOOST_TEST(first.requests.size() + second.requests.size() <= 2U);
+}
+
+// Guards against a refusal that claims "not run" without proof.
+BOOST_AUTO_TEST_CASE(OnlyAMarkedRejectionIsToldAsNotRun) {
+  EdgeFixture fixture;
+  fixture.AddUpstream({NotRun(), {"HTTP/1.1 503 Odd\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n"}});
+  const auto rejected = fixture.Call("/order/1").value();
+  BOOST_TEST(rejected.status == 503);
+  BOOST_TEST(FindHeader(rejected.headers, "X-Ran") == "no");
+  BOOST_TEST(!FindHeader(rejected.headers, "Retry-After").empty());
+  const auto unmarked = fixture.Call("/order/1").value();
+  BOOST_TEST(unmarked.status == 502);
+  BOOST_TEST(FindHeader(unmarked.headers, "X-Ran") == "unknown");
+}
+
+// Guards against answers that a faulty upstream garbled.
+BOOST_AUTO_TEST_CASE(DamagedAnswersNeverLookLikeSuccess) {
+  for (const std::string bytes :
+       {"HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\nContent-Length: 20\r\n\r\nshort",
+        "\x01\x02 garbage\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nabc"}) {
+    EdgeFixture fixture;
+    fixture.AddUpstream({{bytes, Reply::Then::kClose}});
+    BOOST_TEST(fixture.Call("/order/1").value().status == 502, bytes);
+  }
+}
+
+// An answer without a length ends with its connection.
+BOOST_AUTO_TEST_CASE(AnUnframedAnswerIsWholeWhenTheConnectionIsClosed) {
+  const std::string bytes = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\n\r\nwhole";
+  EdgeFixture fixture;
+  fixture.AddUpstream({{bytes, Reply::Then::kClose}});
+  BOOST_TEST(fixture.Call("/order/1").value().body == "whole");
+}
+
+// Guards against an answer that reaches the wrong caller: a second answer to the
+// request before comes first on a kept connection.
+BOOST_AUTO_TEST_CASE(ALateAnswerToAnEarlierRequestIsSkipped) {
+  const std::string stale =
+      "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nstale";
+  EdgeFixture fixture;
+  fixture.AddUpstream({Sealed("first"), {stale + Sealed("second").bytes}});
+  BOOST_TEST(fixture.Call("/lookup/1").value().body == "first");
+  BOOST_TEST(fixture.Call("/lookup/2").value().body == "second");
+}
+
+// Bytes after a whole answer belong to nobody, and the connection is not used again.
+BOOST_AUTO_TEST_CASE(ExtraBytesPoisonTheConnection) {
+  EdgeFixture fixture;
+  Reply reply = Sealed("whole");
+  reply.bytes += "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+  RawUpstream& upstream = fixture.AddUpstream({reply, Sealed("next")});
+  BOOST_TEST(fixture.Call("/lookup/1").value().body == "whole");
+  BOOST_TEST(fixture.Call("/lookup/2").value().body == "next");
+  BOOST_TEST(upstream.connections == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerByAnotherUpstreamIsToldAsNotRun) {
+  EdgeFixture fixture;
+  fixture.AddUpstream({{"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"}});
+  BOOST_TEST(fixture.Call("/order/1").value().status == 503);
+}
+
+// A failed connect sent nothing, so even an order may go elsewhere.
+BOOST_AUTO_TEST_CASE(AnOrderGoesOnAfterAFailedConnect) {
+  EdgeFixture fixture;
+  fixture.AddUpstream({Sealed("whole")});
+  const std::uint64_t revision = fixture.revision + 1;
+  fixture.edge->OnPublishedChanges({{"a-first", "127.0.0.1:1", revision}}, revision);
+  for (int order = 0; order < 4; ++order) {
+    BOOST_TEST(fixture.Call("/order/1").value().status == 200);
+  }
+}
+
+// An upstream's own failure keeps its status and seal.
+BOOST_AUTO_TEST_CASE(AFailureOfTheUpstreamIsPassedOn) {
+  EdgeFixture fixture;
+  fixture.AddUpstream({Sealed("broken", 500)});
+  const auto answer = fixture.Call("/order/1").value();
+  BOOST_TEST(answer.status == 500);
+  BOOST_TEST(FindHeader(answer.headers, "X-Seal") == "s");
+}
+
+// Guards against requests that are held beyond their time.
+BOOST_AUTO_TEST_CASE(TheDeadlineEndsTheRequestAndItsWork) {
+  EdgeFixture fixture;
+  RawUpstream& upstream = fixture.AddUpstream({Silence()});
+  const auto started = std::chrono::steady_clock::now();
+  const auto answer = fixture.Call("/order/1", {{"X-Deadline-Ms", "150"}}).value();
+  BOOST_TEST(answer.status == 504);
+  BOOST_TEST(FindHeader(answer.headers, "X-Ran") == "unknown");
+  BOOST_TEST((std::chrono::steady_clock::now() - started >= 150ms));
+  fixture.RunFor(50ms);
+  BOOST_TEST(upstream.closed_by_peer == 1U);
+}
+
+// A silent upstream does not hold a lookup to its deadline.
+BOOST_AUTO_TEST_CASE(ALookupLeavesASilentUpstream) {
+  EdgeFixture fixture;
+  RawUpstream& first = fixture.AddUpstream({Silence(), Sealed("whole")});
+  RawUpstream& second = fixture.AddUpstream({Sealed("whole")});
+  BOOST_TEST(fixture.Call("/lookup/1").value().status == 200);
+  BOOST_TEST(first.requests.size() + second.requests.size() <= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AStreamIsPassedOnWhole) {
+  EdgeFixture fixture;
+  fixture.AddUpstream({Events(0, 4)});
+  const auto answer = fixture.Call("/stream/1").value();
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.body.starts_with("id: 0\ndata: e0\n\n"));
+  BOOST_TEST(answer.body.ends_with("id: 4\ndata: e4\n\n"));
+}
+
+// Guards against a broken stream that looks complete.
+BOOST_AUTO_TEST_CASE(ABrokenStreamIsNotEnded) {
+  EdgeFixture fixture;
+  RawUpstream& upstream = fixture.AddUpstream({Events(0, 2, false)});
+  BOOST_TEST(fixture.Call("/stream/1").has_error());
+  BOOST_TEST(upstream.requests.size() == 1U);
+}
+
+// A resumable stream goes on at the next event, once each.
+BOOST_AUTO_TEST_CASE(AResumableStreamGoesOnElsewhere) {
+  EdgeFixture fixture;
+  RawUpstream& first = fixture.AddUpstream({Events(0, 2, false), Events(2, 4)});
+  RawUpstream& second = fixture.AddUpstream({Events(2, 4)});
+  const auto answer = fixture.Call("/resume/1").value();
+  std::string expected;
+  for (int id = 0; id <= 4; ++id) {
+    expected += "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+  }
+  BOOST_TEST(answer.body == expected);
+  BOOST_TEST(first.requests.size() + second.requests.size() == 2U);
+  const std::string resumed =
+      second.requests.empty() ? first.requests.back() : second.requests.back();
+  BOOST_TEST(resumed.find("X-Resume-After: 2\r\n") != std::string::npos);
+}
+
+// Guards against a gap in a stream: an event is missing.
+BOOST_AUTO_TEST_CASE(AStreamWithAGapIsBrokenOff) {
+  EdgeFixture fixture;
+  Reply gap = Events(0, 1, true);
+  const auto second = gap.bytes.find("id: 1");
+  gap.bytes.replace(second, 5, "id: 3");
+  fixture.AddUpstream({gap});
+  BOOST_TEST(fixture.Call("/stream/1").has_error());
+}
+
+// Guards against requests hidden in others.
+BOOST_AUTO_TEST_CASE(AmbiguousFramingIsRefused) {
+  EdgeFixture fixture;
+  RawUpstream& upstream = fixture.AddUpstream({Sealed("whole")});
+  const std::string head = "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: r\r\nX-Key: key\r\n";
+  for (const std::string framing :
+       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /order/2 "
+        "HTTP/1.1\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef", "Content-Length: -1\r\n\r\n",
+        "Content-Length: 5, 6\r\n\r\nabcdef", "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "Bad Header\r\n\r\n", "X-A: a\nX-B : b\r\n\r\n"}) {
+    const std::string answer = fixture.CallRaw(head + framing);
+    BOOST_TEST(!answer.starts_with("HTTP/1.1 200"), framing);
+  }
+  BOOST_TEST(upstream.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OversizedHeadersAreRefused) {
+  EdgeFixture fixture;
+  RawUpstream& upstream = fixture.AddUpstream({Sealed("whole")});
+  const std::string answer = fixture.CallRaw(
+      "GET /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Long: " + std::string(20'000, 'x') +
+      "\r\n\r\n");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 431"));
+  BOOST_TEST(upstream.requests.empty());
+}
+
+// Guards against work that goes on after its caller has left.
+BOOST_AUTO_TEST_CASE(TheUpstreamIsLeftWhenTheCallerGoes) {
+  EdgeFixture fixture;
+  RawUpstream& upstream = fixture.AddUpstream({Silence()});
+  fixture.CallRaw(
+      "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: r\r\nX-Key: key\r\n"
+      "Content-Length: 0\r\n\r\n");
+  fixture.RunFor(100ms);
+  BOOST_TEST(upstream.requests.size() == 1U);
+  BOOST_TEST(upstream.closed_by_peer == 1U);
+}
+
+// A planned stop cuts no request and ends before its grace period.
+BOOST_AUTO_TEST_CASE(AStopServesOnAndThenEnds) {
+  EdgeFixture fixture;
+  fixture.AddUpstream({Sealed("whole")});
+  bool stopped = false;
+  fixture.edge->Stop([&] { stopped = true; });
+  const auto answer = fixture.Call("/order/1").value();
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(FindHeader(answer.headers, "Connection") == "close");
+  BOOST_TEST(!stopped);
+  fixture.RunFor(3200ms);
+  BOOST_TEST(stopped);
+}
+
+// A configuration that is older than the one in force changes nothing.
+BOOST_AUTO_TEST_CASE(OlderStateOfTheStoreIsIgnored) {
+  EdgeFixture fixture;
+  fixture.AddUpstream({Sealed("whole")});
+  fixture.edge->OnPublishedState({}, 1);
+  BOOST_TEST(fixture.Call("/order/1").value().status == 200);
+}
+
+}  // namespace
+}  // namespace geraniumspread::edge
--- /dev/null
+++ b/src/edge/tests/event_splitter_test.cc
@@ -0,0 +1,47 @@
+#include "edge/internal/event_splitter.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace geraniumspread::edge::detail {
+namespace {
+
+const std::string kStream = "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\n";
+
+// Bytes may be cut anywhere, also inside an id.
+BOOST_AUTO_TEST_CASE(EventsAreWholeHoweverTheBytesAreCut) {
+  for (std::size_t cut = 1; cut < kStream.size(); ++cut) {
+    EventSplitter splitter;
+    std::string events = TakeEvents(splitter, std::string_view(kStream).substr(0, cut));
+    BOOST_TEST((events.empty() || events.ends_with("\n\n")));
+    events += TakeEvents(splitter, std::string_view(kStream).substr(cut));
+    BOOST_TEST(events == kStream);
+    BOOST_TEST(splitter.pending.empty());
+    BOOST_TEST(splitter.last_id.value() == 2U);
+    BOOST_TEST(!splitter.out_of_order);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EventsThatWereDeliveredAreSkipped) {
+  EventSplitter splitter;
+  splitter.last_id = 1;
+  splitter.skip_through = 1;
+  BOOST_TEST(TakeEvents(splitter, kStream) == "id: 2\ndata: c\n\n");
+}
+
+// Guards against a stream that misses a piece or has one twice.
+BOOST_AUTO_TEST_CASE(GapsAndRepetitionsAreFound) {
+  for (const char* second : {"id: 2\ndata: c\n\n", "id: 0\ndata: a\n\n"}) {
+    EventSplitter splitter;
+    TakeEvents(splitter, std::string("id: 0\ndata: a\n\n") + second);
+    BOOST_TEST(splitter.out_of_order);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EventsWithoutAnIdArePassedOn) {
+  EventSplitter splitter;
+  BOOST_TEST(TakeEvents(splitter, ": note\n\nid: 0\ndata: a\n\n") ==
+             ": note\n\nid: 0\ndata: a\n\n");
+}
+
+}  // namespace
+}  // namespace geraniumspread::edge::detail
