Hold removals only after an outage of the store itself

It held the removal of an upstream that had left for 1.8 s from when it learned of it, so an order reached the upstream 2,024 ms after the store's acknowledgement (bound 2,000). Ruled out: a slow watch, it had the removal after 280 ms.

--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -213,6 +213,12 @@
   return best;
 }
 
+bool HasLiveReader(const PeerTable& peers, TimePoint now) {
+  return std::ranges::any_of(peers.peers, [&](const auto& entry) {
+    return entry.second.digest.reads_store && IsLive(peers, entry.second, now);
+  });
+}
+
 bool ShouldReadStore(const PeerTable& peers, TimePoint now) {
   const std::uint64_t own = StableHash(peers.self_address);
   const auto earlier_readers = std::ranges::count_if(peers.peers, [&](const auto& entry) {
--- /dev/null
+++ b/src/dispatch/internal/store_outage.cc
@@ -0,0 +1,18 @@
+#include "dispatch/store_outage.h"
+
+namespace geraniumspread::dispatch {
+
+void NoteStoreReach(StoreOutage& outage, bool is_reached, TimePoint now) {
+  if (!is_reached) {
+    outage.away_at = now;
+  }
+}
+
+std::optional<TimePoint> HoldRemovalUntil(const StoreOutage& outage, TimePoint now) {
+  if (!outage.away_at || *outage.away_at + outage.relisting_time <= now) {
+    return std::nullopt;
+  }
+  return *outage.away_at + outage.relisting_time;
+}
+
+}  // namespace geraniumspread::dispatch
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -115,6 +115,8 @@
 // The live peer that is furthest ahead of `revision`, those of the own failure
 // domain first; null when none is.
 const Peer* PeerAhead(const PeerTable& peers, std::uint64_t revision, TimePoint now);
+// Whether a live peer reached the store lately.
+bool HasLiveReader(const PeerTable& peers, TimePoint now);
 // Whether this instance has to follow the store itself: it comes early in the
 // order of its failure domain, or too few that come earlier do.
 bool ShouldReadStore(const PeerTable& peers, TimePoint now);
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -45,8 +45,6 @@
   Duration stop_grace = std::chrono::seconds(8);
   // One in this many requests that succeed at once is logged.
   std::uint64_t log_one_in = 16;
-  // How long a removal is held that the platform may undo after an outage.
-  Duration removal_hold = std::chrono::milliseconds(1800);
 };
 
 struct SettingsError {
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -92,6 +92,11 @@
     LogEvent(LogLevel::kWarn, "failure_domain_silent", {{"failure_domain", domain}});
     LeaveDomain(*edge, domain);
   }
+  const bool reaches_store = edge->feed_reachable && edge->reads_store;
+  dispatch::NoteStoreReach(
+      edge->store_outage,
+      reaches_store || dispatch::HasLiveReader(edge->peers, RuntimeClock::now()),
+      RuntimeClock::now());
   ExpireHeldRemovals(*edge);
   SendDigests(*edge);
   PullIfBehind(edge);
@@ -207,7 +212,6 @@
   current.selection = settings.selection;
   current.retries = settings.retries;
   current.stop_grace = settings.stop_grace;
-  current.removal_hold = settings.removal_hold;
   this->state->retries.settings = settings.retries;
 }
 
@@ -260,9 +264,6 @@
     observability::LogEvent(observability::LogLevel::kInfo, "store_reached",
                             {{"revision", this->state->published.revision}});
   }
-  if (!reachable) {
-    this->state->feed_lost_at = RuntimeClock::now();
-  }
   this->state->feed_reachable = reachable;
 }
 
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -14,6 +14,7 @@
 #include "dispatch/published_state.h"
 #include "dispatch/selection.h"
 #include "dispatch/send_limits.h"
+#include "dispatch/store_outage.h"
 #include "dispatch/upstream_table.h"
 #include "edge/edge_types.h"
 #include "observability/log.h"
@@ -46,8 +47,7 @@
   dispatch::RetryShare retries;
   // Requests that wait for an upstream.
   std::unordered_set<RequestRun*> runs;
-  // When the store was last out of reach; removals soon after may be undone.
-  std::optional<TimePoint> feed_lost_at;
+  dispatch::StoreOutage store_outage;
   bool feed_reachable = false;
   bool reads_store = true;
   // Since when a peer has had newer published state than this instance.
--- a/src/edge/internal/published_feed.cc
+++ b/src/edge/internal/published_feed.cc
@@ -8,10 +8,6 @@
 using observability::LogEvent;
 using observability::LogLevel;
 
-// A removal this soon after an outage of the store may be undone: the entry may
-// have expired while its upstream could not renew it.
-constexpr Duration kOutageEffect = std::chrono::seconds(5);
-
 std::string_view ToString(dispatch::ListingChange change) {
   switch (change) {
     case dispatch::ListingChange::kNone:
@@ -82,15 +78,15 @@
   if (row == edge.upstreams.rows.end()) {
     return;
   }
-  const TimePoint now = RuntimeClock::now();
-  const bool may_return = !row->second->listing.draining && edge.feed_lost_at &&
-                          *edge.feed_lost_at + kOutageEffect > now;
-  if (may_return) {
-    dispatch::HoldRemoval(edge.upstreams, removed.id, now + edge.settings.removal_hold);
+  const auto held_until = row->second->listing.draining
+                              ? std::nullopt
+                              : dispatch::HoldRemovalUntil(edge.store_outage, RuntimeClock::now());
+  if (held_until) {
+    dispatch::HoldRemoval(edge.upstreams, removed.id, *held_until);
   } else {
     dispatch::RemoveUpstream(edge.upstreams, removed.id);
   }
-  LogEvent(LogLevel::kInfo, may_return ? "upstream_removal_held" : "upstream_removed",
+  LogEvent(LogLevel::kInfo, held_until ? "upstream_removal_held" : "upstream_removed",
            {{"upstream", removed.id}, {"revision", item.revision}});
 }
 
