Send misdirected requests on to another upstream

A misdirected request did not run and reached no upstream of its service: it goes on, at most twice, within the retry budget, and the old entry is avoided for 5 s.

--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -14,6 +14,8 @@
 // that crashed is back or unlisted within seconds.
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(300);
 constexpr std::uint32_t kMaxAvoidanceDoublings = 4;
+// The platform drops the entry of a dead process after some missed heartbeats.
+constexpr Duration kReplacedAvoidance = std::chrono::seconds(5);
 // Weight of one outcome in the failure rate.
 constexpr double kOutcomeWeight = 0.2;
 // The failure rate halves in this time without attempts, so that an upstream
@@ -137,6 +139,10 @@
   health.avoid_until = now + kFirstAvoidance * (1U << doublings);
 }
 
+void NoteReplaced(UpstreamHealth& health, TimePoint now) {
+  health.avoid_until = now + kReplacedAvoidance;
+}
+
 void NoteAttemptFailed(UpstreamHealth& health, TimePoint now) {
   Rate(health, 1, now);
 }
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -105,6 +105,9 @@
 
 // A failed connect sent nothing; it only says to try another upstream first.
 void NoteConnectFailed(UpstreamHealth& health, TimePoint now);
+// Another process answers at the upstream's address: it is gone, and its listing
+// is out of date.
+void NoteReplaced(UpstreamHealth& health, TimePoint now);
 void NoteAttemptFailed(UpstreamHealth& health, TimePoint now);
 void NoteAttemptSucceeded(UpstreamHealth& health, TimePoint now);
 double FailureRate(const UpstreamHealth& health, TimePoint now);
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -159,10 +159,16 @@
   }
   Attempt attempt;
   const TimePoint now = RuntimeClock::now();
-  if (answer.not_run || answer.wrong_upstream) {
+  if (answer.wrong_upstream) {
+    dispatch::NoteReplaced(upstream.health, now);
+    attempt.result = AttemptResult::kMisdirected;
+    attempt.reason = "address_of_another_upstream";
+    co_return attempt;
+  }
+  if (answer.not_run) {
     dispatch::NoteAttemptFailed(upstream.health, now);
     attempt.result = AttemptResult::kRejected;
-    attempt.reason = answer.wrong_upstream ? "address_of_another_upstream" : "rejected_not_run";
+    attempt.reason = "rejected_not_run";
     co_return attempt;
   }
   if (!answer.is_sealed || answer.is_encoded) {
@@ -231,6 +237,8 @@
       return "not_sent";
     case AttemptResult::kRejected:
       return "rejected";
+    case AttemptResult::kMisdirected:
+      return "misdirected";
     case AttemptResult::kFailedAnswer:
       return "failed_answer";
     case AttemptResult::kOutcomeUnknown:
--- a/src/edge/internal/attempt.h
+++ b/src/edge/internal/attempt.h
@@ -15,6 +15,8 @@
   kNotSent,
   // The upstream says that it did not run the request.
   kRejected,
+  // Another process answered at the upstream's address and did not run it.
+  kMisdirected,
   // An upstream's own failure, kept in `answer`.
   kFailedAnswer,
   // Sent, and nothing says whether it ran.
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -18,6 +18,7 @@
 constexpr Duration kMinRemaining = std::chrono::milliseconds(10);
 // Failed connects of one request; each costs up to the connect timeout.
 constexpr std::uint32_t kMaxFailedConnects = 4;
+constexpr std::uint32_t kMaxMisdirected = 2;
 // A new process has its first configuration within this time after its start.
 constexpr Duration kStartRetryAfter = std::chrono::milliseconds(500);
 // An upstream that is full or cold takes more requests within about a second.
@@ -155,6 +156,7 @@
   switch (result) {
     case AttemptResult::kNotSent:
     case AttemptResult::kRejected:
+    case AttemptResult::kMisdirected:
       return RunState::kNotRun;
     case AttemptResult::kFailedAnswer:
     case AttemptResult::kDelivered:
@@ -192,6 +194,7 @@
     LogAttempt(run, selection, attempt);
     run.edge->metrics.Count("geranium_attempts_total", {{"result", ToString(attempt.result)}});
     const RunState ran = RanAfter(attempt.result);
+    run.misdirected += attempt.result == AttemptResult::kMisdirected ? 1 : 0;
     run.may_have_run = run.may_have_run || ran != RunState::kNotRun;
     if (attempt.result == AttemptResult::kDelivered) {
       co_return;
@@ -265,7 +268,9 @@
   if (run.sends == 0) {
     return run.failed_connects < kMaxFailedConnects;
   }
-  if (run.sends >= run.route.max_attempts) {
+  // A misdirected request reached no upstream of its service, so it may go on
+  // beyond the route's attempts.
+  if (run.sends - run.misdirected >= run.route.max_attempts || run.misdirected >= kMaxMisdirected) {
     return false;
   }
   EdgeState& edge = *run.edge;
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -37,6 +37,8 @@
   // Attempts of which a byte may have arrived.
   std::uint32_t sends = 0;
   std::uint32_t failed_connects = 0;
+  // Sends that reached another process than the upstream addressed.
+  std::uint32_t misdirected = 0;
   // An attempt may have run the request and no answer says otherwise.
   bool may_have_run = false;
   StopReason stopped = StopReason::kNone;
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -129,6 +129,19 @@
   BOOST_TEST(fixture.Call("/order/1").value().status == 503);
 }
 
+// Pattern: upstreams of a failure domain came back under new ids at their old
+// addresses. An order that one of them refused as misdirected goes on.
+BOOST_AUTO_TEST_CASE(AMisdirectedOrderGoesToTheNextUpstream) {
+  EdgeFixture fixture;
+  const Reply misdirected{"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"};
+  RawUpstream& replaced = fixture.AddUpstream({misdirected});
+  fixture.AddUpstream({Sealed("whole")});
+  for (int order = 0; order < 6; ++order) {
+    BOOST_TEST(fixture.Call("/order/1").value().status == 200);
+  }
+  BOOST_TEST(replaced.requests.size() <= 1U);
+}
+
 // A failed connect sent nothing, so even an order may go elsewhere.
 BOOST_AUTO_TEST_CASE(AnOrderGoesOnAfterAFailedConnect) {
   EdgeFixture fixture;
