Count upstreams that take no work for the mean load

The mean was taken over the upstreams in service, which is higher than that over all of the service.

--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -19,7 +19,7 @@
 constexpr double kOverBoundMs = 2000;
 constexpr double kOverBoundMsPerRequest = 50;
 // Part of the load bound that is used; peers place at the same time.
-constexpr double kLoadBoundMargin = 0.9;
+constexpr double kLoadBoundMargin = 0.75;
 // Reading shared prompt parts again costs more than its time: it takes prefill
 // time from all requests of the engine and pushes other chats out of its cache.
 constexpr double kRereadFactor = 5;
@@ -75,12 +75,15 @@
   return subject == 0 ? nullptr : home;
 }
 
-double MeanRunning(std::span<const Candidate> candidates) {
+// Over all upstreams of the service: those that take no new work lower the mean
+// as well.
+double MeanRunning(const UpstreamTable& table, const SelectionQuestion& question) {
+  const auto& rows = table.by_service.at(std::string(question.service));
   double sum = 0;
-  for (const Candidate& candidate : candidates) {
-    sum += candidate.running;
+  for (const UpstreamRow& row : rows) {
+    sum += EstimatedRunning(table, *row, question.now);
   }
-  return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
+  return sum / static_cast<double>(std::max<std::size_t>(rows.size(), 1));
 }
 
 // Some requests fail at each upstream; only what goes beyond that tells against one.
@@ -115,7 +118,7 @@
               std::span<Candidate> candidates) {
   const Upstream* home = HomeOf(question, candidates);
   const double bound =
-      (settings.load_factor * MeanRunning(candidates) + settings.load_slack) * kLoadBoundMargin;
+      (settings.load_factor * MeanRunning(table, question) + settings.load_slack) * kLoadBoundMargin;
   const double usual_failures = LowestFailureRate(question, candidates);
   const double kilobytes = static_cast<double>(question.body_bytes) / 1024;
   for (Candidate& candidate : candidates) {
--- a/src/dispatch/tests/selection_test.cc
+++ b/src/dispatch/tests/selection_test.cc
@@ -66,6 +66,23 @@
   }
 }
 
+// Pattern: a failure domain is out of service. Its idle upstreams lower the mean
+// that bounds the others, and a chat's home is passed over sooner.
+BOOST_AUTO_TEST_CASE(UpstreamsOutOfServiceCountForTheMean) {
+  UpstreamTable table = MakeTable(4);
+  table.domains_out = {"c"};
+  std::vector<std::unique_ptr<RunningRequest>> running;
+  const SelectionSettings settings;
+  for (std::uint64_t request = 0; request < 60; ++request) {
+    const Prompt prompt = ChatPrompt(request % 3 == 0 ? 1 : request, request, 500);
+    const Candidate chosen =
+        SelectUpstream(table, settings, EngineQuestion(prompt)).candidates.front();
+    BOOST_TEST(chosen.running <= settings.load_factor * static_cast<double>(request) / 12 +
+                                     settings.load_slack);
+    running.push_back(std::make_unique<RunningRequest>(chosen.row, 0));
+  }
+}
+
 // Pattern: a burst of long new prompts. Prompts wait for each other in an
 // engine, so they go where the fewest tokens wait, not where the fewest requests run.
 BOOST_AUTO_TEST_CASE(WaitingPromptTokensCountMoreThanRunningRequests) {
