Try to share the chats of one long first part among four engines

A sixth of the engines, four at least, shared the chats of a first part of 200 tokens or more.

With 12 to 18 engines a popular first part loads its four far above the others, and chats spill; the test of chats with one first part fails as well.

--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -234,7 +234,7 @@
   std::vector<UpstreamLoad> loads;
   for (const auto& [id, row] : upstreams.rows) {
     if (row->running > 0) {
-      loads.push_back({StableHash(id), row->running, row->unread_tokens});
+      loads.push_back({row->id_hash, row->running, row->unread_tokens});
     }
   }
   return loads;
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -1,6 +1,7 @@
 #include "dispatch/selection.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "common/hash.h"
@@ -23,13 +24,19 @@
 // Reading shared prompt parts again costs more than its time: it takes prefill
 // time from all requests of the engine and pushes other chats out of its cache.
 constexpr double kRereadFactor = 5;
+// Part of the engines that share the chats with one first part. Fewer would
+// concentrate the load of a popular one, more would each read it.
+constexpr std::size_t kFirstPartShare = 6;
+constexpr std::size_t kMinEnginesOfFirstPart = 4;
+// Shorter first parts cost less to read than their chats cost in balance.
+constexpr std::uint32_t kLongFirstPart = 200;
 // Fewer tokens are read faster than they are fetched.
 constexpr std::uint32_t kMinFetchedTokens = 100;
 // Requests that may wait at a plain upstream, as a multiple of its slots.
 constexpr std::uint32_t kPlainQueueFactor = 4;
 
-std::uint64_t Score(std::uint64_t left, std::string_view right) {
-  return MixHash(left, StableHash(right));
+std::uint64_t Score(std::uint64_t key, const Upstream& upstream) {
+  return MixHash(key, upstream.id_hash);
 }
 
 bool Contains(std::span<const std::string> ids, const std::string& id) {
@@ -37,7 +44,7 @@
 }
 
 // Rank of this instance among all in the rendezvous order of an upstream.
-std::size_t RankOf(const SelectionQuestion& question, const std::string& upstream) {
+std::size_t RankOf(const SelectionQuestion& question, const Upstream& upstream) {
   const std::uint64_t own = Score(question.own_hash, upstream);
   return static_cast<std::size_t>(std::ranges::count_if(
       question.peer_hashes, [&](std::uint64_t peer) { return Score(peer, upstream) > own; }));
@@ -50,7 +57,7 @@
     return true;
   }
   return MaySendCold(settings.cold, question.cold_requests_per_second, question.instances,
-                     RankOf(question, upstream.listing.id), upstream.cold_sends, question.now);
+                     RankOf(question, upstream), upstream.cold_sends, question.now);
 }
 
 bool IsFull(const Upstream& upstream, std::uint32_t running, bool is_engine) {
@@ -58,21 +65,37 @@
   return running >= places;
 }
 
-// The engine at which all instances expect the shared parts of a prompt: the
-// first in the rendezvous order of its subject. First parts are no measure: one
-// may begin three quarters of all long prompts.
+// The engines that share the chats with one first part, first in its rendezvous
+// order, so that not every engine reads that part.
+std::vector<const Upstream*> EnginesOfFirstPart(const Prompt& prompt,
+                                                std::span<const Candidate> candidates) {
+  std::vector<const Upstream*> engines;
+  for (const Candidate& candidate : candidates) {
+    engines.push_back(candidate.row.get());
+  }
+  const std::size_t count = std::max(kMinEnginesOfFirstPart, engines.size() / kFirstPartShare);
+  if (prompt.parts.front().tokens < kLongFirstPart || count >= engines.size()) {
+    return engines;
+  }
+  const std::uint64_t first_part = prompt.parts.front().id;
+  std::ranges::nth_element(
+      engines, engines.begin() + static_cast<std::ptrdiff_t>(count), std::greater<>(),
+      [first_part](const Upstream* upstream) { return Score(first_part, *upstream); });
+  engines.resize(count);
+  return engines;
+}
+
+// The engine at which all instances expect the shared parts of a prompt. A first
+// part alone is no measure: one may begin three quarters of all long prompts.
 const Upstream* HomeOf(const SelectionQuestion& question, std::span<const Candidate> candidates) {
   const std::uint64_t subject = SubjectOf(question.prompt);
-  const Upstream* home = nullptr;
-  std::uint64_t best = 0;
-  for (const Candidate& candidate : candidates) {
-    const Upstream& upstream = *candidate.row;
-    if (const std::uint64_t score = Score(subject, upstream.listing.id); score >= best) {
-      best = score;
-      home = &upstream;
-    }
+  if (subject == 0) {
+    return nullptr;
   }
-  return subject == 0 ? nullptr : home;
+  const std::vector<const Upstream*> engines = EnginesOfFirstPart(question.prompt, candidates);
+  const auto home = std::ranges::max_element(
+      engines, {}, [subject](const Upstream* upstream) { return Score(subject, *upstream); });
+  return home == engines.end() ? nullptr : *home;
 }
 
 // Over all upstreams of the service: those that take no new work lower the mean
@@ -117,8 +140,8 @@
               const SelectionQuestion& question,
               std::span<Candidate> candidates) {
   const Upstream* home = HomeOf(question, candidates);
-  const double bound =
-      (settings.load_factor * MeanRunning(table, question) + settings.load_slack) * kLoadBoundMargin;
+  const double bound = (settings.load_factor * MeanRunning(table, question) + settings.load_slack) *
+                       kLoadBoundMargin;
   const double usual_failures = LowestFailureRate(question, candidates);
   const double kilobytes = static_cast<double>(question.body_bytes) / 1024;
   for (Candidate& candidate : candidates) {
@@ -188,7 +211,7 @@
     }
     const std::uint32_t kept =
         SharedTokens(question.prompt) - UncachedSharedTokens(row->memory, question.prompt);
-    const std::pair rank{kept, Score(subject, row->listing.id)};
+    const std::pair rank{kept, Score(subject, *row)};
     if (holder == nullptr || rank > best) {
       best = rank;
       holder = row.get();
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -67,6 +67,7 @@
   }
   auto row = std::make_shared<Upstream>();
   row->listing = listing;
+  row->id_hash = StableHash(listing.id);
   row->cold_until = now + listing.cold_left;
   table.rows[listing.id] = row;
   AddToService(table, row);
@@ -116,7 +117,7 @@
 std::uint32_t EstimatedRunning(const UpstreamTable& table,
                                const Upstream& upstream,
                                TimePoint now) {
-  const auto remote = table.remote.find(StableHash(upstream.listing.id));
+  const auto remote = table.remote.find(upstream.id_hash);
   const std::uint32_t counted =
       upstream.running + (remote == table.remote.end() ? 0 : remote->second.running);
   if (!upstream.report || upstream.report->at + kReportLifetime < now) {
@@ -129,7 +130,7 @@
 }
 
 std::uint64_t EstimatedUnreadTokens(const UpstreamTable& table, const Upstream& upstream) {
-  const auto remote = table.remote.find(StableHash(upstream.listing.id));
+  const auto remote = table.remote.find(upstream.id_hash);
   return upstream.unread_tokens + (remote == table.remote.end() ? 0 : remote->second.unread_tokens);
 }
 
