Fetch a moved chat from its former home

Cause: a chat that left its home was fetched from any engine that this instance knew to keep the first part, though the home kept all of it. The home is now asked when the chat is sent elsewhere or its home is new, and an engine with the first part otherwise.

--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -1,7 +1,6 @@
 #include "dispatch/selection.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 #include "common/hash.h"
@@ -24,12 +23,8 @@
 // Reading shared prompt parts again costs more than its time: it takes prefill
 // time from all requests of the engine and pushes other chats out of its cache.
 constexpr double kRereadFactor = 5;
-// Part of the engines that share the chats with one first part. Fewer would
-// concentrate the load of a popular one, more would each read it.
-constexpr std::size_t kFirstPartShare = 6;
-constexpr std::size_t kMinEnginesOfFirstPart = 4;
-// Shorter first parts cost less to read than their chats cost in balance.
-constexpr std::uint32_t kLongFirstPart = 200;
+// After this time most chats of a new engine have been sent to it once.
+constexpr Duration kNewEngineTime = std::chrono::seconds(15);
 // Fewer tokens are read faster than they are fetched.
 constexpr std::uint32_t kMinFetchedTokens = 100;
 // Requests that may wait at a plain upstream, as a multiple of its slots.
@@ -65,37 +60,20 @@
   return running >= places;
 }
 
-// The engines that share the chats with one first part, first in its rendezvous
-// order, so that not every engine reads that part.
-std::vector<const Upstream*> EnginesOfFirstPart(const Prompt& prompt,
-                                                std::span<const Candidate> candidates) {
-  std::vector<const Upstream*> engines;
-  for (const Candidate& candidate : candidates) {
-    engines.push_back(candidate.row.get());
-  }
-  const std::size_t count = std::max(kMinEnginesOfFirstPart, engines.size() / kFirstPartShare);
-  if (prompt.parts.front().tokens < kLongFirstPart || count >= engines.size()) {
-    return engines;
-  }
-  const std::uint64_t first_part = prompt.parts.front().id;
-  std::ranges::nth_element(
-      engines, engines.begin() + static_cast<std::ptrdiff_t>(count), std::greater<>(),
-      [first_part](const Upstream* upstream) { return Score(first_part, *upstream); });
-  engines.resize(count);
-  return engines;
-}
-
-// The engine at which all instances expect the shared parts of a prompt. A first
-// part alone is no measure: one may begin three quarters of all long prompts.
+// The engine at which all instances expect the shared parts of a prompt: the
+// first in the rendezvous order of its subject. First parts are no measure: one
+// may begin three quarters of all long prompts.
 const Upstream* HomeOf(const SelectionQuestion& question, std::span<const Candidate> candidates) {
   const std::uint64_t subject = SubjectOf(question.prompt);
-  if (subject == 0) {
-    return nullptr;
+  const Upstream* home = nullptr;
+  std::uint64_t best = 0;
+  for (const Candidate& candidate : candidates) {
+    if (const std::uint64_t score = Score(subject, *candidate.row); score >= best) {
+      best = score;
+      home = candidate.row.get();
+    }
   }
-  const std::vector<const Upstream*> engines = EnginesOfFirstPart(question.prompt, candidates);
-  const auto home = std::ranges::max_element(
-      engines, {}, [subject](const Upstream* upstream) { return Score(subject, *upstream); });
-  return home == engines.end() ? nullptr : *home;
+  return subject == 0 ? nullptr : home;
 }
 
 // Over all upstreams of the service: those that take no new work lower the mean
@@ -201,21 +179,31 @@
     return nullptr;
   }
   const std::uint64_t subject = SubjectOf(question.prompt);
+  const std::uint32_t shared = SharedTokens(question.prompt);
+  // The engine that this instance saw read most of the prompt, and the one to
+  // which other instances sent the chat when `chosen` is new or not its home.
   const Upstream* holder = nullptr;
-  std::pair<std::uint32_t, std::uint64_t> best{};
+  const Upstream* home = nullptr;
+  std::uint32_t most = 0;
   for (const UpstreamRow& row : rows->second) {
     // A draining engine still hands over what it keeps.
     if (row.get() == &chosen || question.now < row->health.avoid_until ||
         table.domains_silent.contains(row->listing.failure_domain)) {
       continue;
     }
-    const std::uint32_t kept =
-        SharedTokens(question.prompt) - UncachedSharedTokens(row->memory, question.prompt);
-    const std::pair rank{kept, Score(subject, *row)};
-    if (holder == nullptr || rank > best) {
-      best = rank;
+    const std::uint32_t kept = shared - UncachedSharedTokens(row->memory, question.prompt);
+    if (kept > most) {
+      most = kept;
       holder = row.get();
     }
+    if (home == nullptr || Score(subject, *row) > Score(subject, *home)) {
+      home = row.get();
+    }
+  }
+  const bool is_moved = home != nullptr && (Score(subject, *home) > Score(subject, chosen) ||
+                                            question.now < chosen.listed_at + kNewEngineTime);
+  if (most < shared && (is_moved || holder == nullptr)) {
+    return home;
   }
   return holder;
 }
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -68,6 +68,7 @@
   auto row = std::make_shared<Upstream>();
   row->listing = listing;
   row->id_hash = StableHash(listing.id);
+  row->listed_at = now;
   row->cold_until = now + listing.cold_left;
   table.rows[listing.id] = row;
   AddToService(table, row);
--- a/src/dispatch/tests/selection_test.cc
+++ b/src/dispatch/tests/selection_test.cc
@@ -66,6 +66,32 @@
   }
 }
 
+// Guards against parts that are read again although an engine keeps them: a chat
+// that leaves its home is fetched from there, and one whose home is new from the
+// engine that was its home before, also while that one drains.
+BOOST_AUTO_TEST_CASE(MovedChatsAreFetchedFromTheirFormerHome) {
+  UpstreamTable table = MakeTable(4);
+  SelectionQuestion question = EngineQuestion(ChatPrompt(1, 1));
+  question.now = kStart + 1min;
+  const Selection selection = SelectUpstream(table, SelectionSettings{}, question);
+  const UpstreamRow home = selection.candidates.front().row;
+  const UpstreamRow other = selection.candidates.back().row;
+  // This instance knows the first part at a third engine only.
+  Prompt first_part_only = ChatPrompt(2, 2);
+  RememberPrompt(selection.candidates.at(5).row->memory, first_part_only, 100'000);
+  BOOST_TEST(FindPromptHolder(table, question, *other) == home.get());
+  UpstreamListing draining = home->listing;
+  draining.draining = true;
+  ApplyListing(table, draining, kStart);
+  const UpstreamRow next =
+      SelectUpstream(table, SelectionSettings{}, question).candidates.front().row;
+  BOOST_TEST(FindPromptHolder(table, question, *next) == home.get());
+  // A chat at its settled home lacks at most its first part.
+  BOOST_TEST(FindPromptHolder(table, question, *home) == selection.candidates.at(5).row.get());
+  RememberPrompt(home->memory, question.prompt, 100'000);
+  BOOST_TEST(FindPromptHolder(table, question, *home) == nullptr);
+}
+
 // Pattern: a failure domain is out of service. Its idle upstreams lower the mean
 // that bounds the others, and a chat's home is passed over sooner.
 BOOST_AUTO_TEST_CASE(UpstreamsOutOfServiceCountForTheMean) {
@@ -77,8 +103,8 @@
     const Prompt prompt = ChatPrompt(request % 3 == 0 ? 1 : request, request, 500);
     const Candidate chosen =
         SelectUpstream(table, settings, EngineQuestion(prompt)).candidates.front();
-    BOOST_TEST(chosen.running <= settings.load_factor * static_cast<double>(request) / 12 +
-                                     settings.load_slack);
+    BOOST_TEST(chosen.running <=
+               settings.load_factor * static_cast<double>(request) / 12 + settings.load_slack);
     running.push_back(std::make_unique<RunningRequest>(chosen.row, 0));
   }
 }
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -51,6 +51,7 @@
   UpstreamListing listing;
   // StableHash of the id.
   std::uint64_t id_hash = 0;
+  TimePoint listed_at;
   // False once removed; requests under way keep the row.
   bool listed = true;
   // A removal during an outage of the platform's store is held until then.
