--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -19,7 +19,7 @@
 constexpr double kOverBoundMs = 2000;
 constexpr double kOverBoundMsPerRequest = 50;
 // Part of the load bound that is used; peers place at the same time.
-constexpr double kLoadBoundMargin = 0.75;
+constexpr double kLoadBoundMargin = 0.9;
 // Reading shared prompt parts again costs more than its time: it takes prefill
 // time from all requests of the engine and pushes other chats out of its cache.
 constexpr double kRereadFactor = 5;
