Bound the request bodies that are held at one time

Cause: each body was bounded, their sum was not: 100 callers that send 4 MiB each would end an instance of 260 MB. A server holds at most 96 MiB of bodies; beyond that a request is refused with 503 before its body is read. The test fails without the limit.

--- a/src/transport/internal/http_server.cc
+++ b/src/transport/internal/http_server.cc
@@ -84,6 +84,7 @@
   Tcp::acceptor acceptor;
   std::unordered_set<ServerSession*> sessions;
   std::size_t active_requests = 0;
+  std::uint64_t held_body_bytes = 0;
   bool draining = false;
 };
 
@@ -96,13 +97,23 @@
   }
   ServerSession(const ServerSession&) = delete;
   ServerSession& operator=(const ServerSession&) = delete;
-  ~ServerSession() { this->server->sessions.erase(this); }
+  ~ServerSession() {
+    this->HoldBody(0);
+    this->server->sessions.erase(this);
+  }
+
+  // Counts the body of the request at hand among those of all connections.
+  void HoldBody(std::uint64_t bytes) {
+    this->server->held_body_bytes += bytes - this->held_body_bytes;
+    this->held_body_bytes = bytes;
+  }
 
   std::shared_ptr<ServerState> server;
   Tcp::socket socket;
   Deadline deadline;
   boost::beast::flat_buffer buffer;
   bool keep_alive = true;
+  std::uint64_t held_body_bytes = 0;
   // No byte of a request has come since the last answer.
   bool is_idle = true;
 };
@@ -323,8 +334,21 @@
   }
   session->is_idle = false;
   session->deadline.Arm(limits.read_timeout);
-  const auto [error, bytes] =
-      co_await http::async_read(session->socket, session->buffer, parser, kAwaitTuple);
+  auto [error, bytes] =
+      co_await http::async_read_header(session->socket, session->buffer, parser, kAwaitTuple);
+  if (!error && !parser.is_done()) {
+    const std::uint64_t expected =
+        parser.content_length() ? *parser.content_length() : limits.max_body_bytes;
+    if (session->server->held_body_bytes + expected > limits.max_held_body_bytes) {
+      co_await RefuseRequest(session, {503, "overloaded", "too many request bodies are held"});
+      co_await DiscardUnread(session);
+      co_return std::nullopt;
+    }
+    session->HoldBody(expected);
+    std::tie(error, bytes) =
+        co_await http::async_read(session->socket, session->buffer, parser, kAwaitTuple);
+  }
+  session->HoldBody(error ? 0 : parser.get().body().size());
   const bool expired = session->deadline.Expired();
   session->deadline.Disarm();
   if (error) {
@@ -351,6 +375,7 @@
       break;
     }
     co_await RunHandler(session, std::move(*request));
+    session->HoldBody(0);
     if (session->server->draining) {
       break;
     }
--- a/src/transport/tests/http_test.cc
+++ b/src/transport/tests/http_test.cc
@@ -185,5 +185,44 @@
   BOOST_TEST((port.error().code == TransportErrorCode::kAddressInUse));
 }
 
+// Guards against callers that make the process hold bodies without bound: the
+// sum of all bodies has a limit, and room is free again after an answer.
+BOOST_FIXTURE_TEST_CASE(TheBodiesOfAllConnectionsHaveALimit, Fixture) {
+  constexpr std::size_t kBodyBytes = 600;
+  std::vector<int> statuses;
+  RuntimeTimer held(this->io);
+  ServerLimits limits;
+  limits.max_held_body_bytes = 1000;
+  this->Serve(
+      [&held](HttpRequest request, HttpResponder& responder) -> asio::awaitable<void> {
+        if (request.target == "/slow") {
+          held.expires_after(std::chrono::milliseconds(100));
+          co_await held.async_wait(detail::kAwaitTuple);
+        }
+        HttpResponse response(200);
+        co_await responder.Send(std::move(response));
+      },
+      limits);
+  const auto post = [&](std::string target) -> asio::awaitable<void> {
+    HttpRequest request("POST", std::move(target), {}, std::string(kBodyBytes, 'x'));
+    auto response = co_await Fetch(this->pool, this->endpoint, std::move(request),
+                                   ExchangeTimeouts{}, kMaxBody);
+    statuses.push_back(response ? response.value().status : 0);
+  };
+  asio::co_spawn(this->io, post("/slow"), asio::detached);
+  const auto second = [&]() -> asio::awaitable<void> {
+    RuntimeTimer pause(this->io);
+    pause.expires_after(std::chrono::milliseconds(30));
+    co_await pause.async_wait(detail::kAwaitTuple);
+    co_await post("/fast");
+    pause.expires_after(std::chrono::milliseconds(150));
+    co_await pause.async_wait(detail::kAwaitTuple);
+    co_await post("/fast");
+  };
+  this->Run(second());
+  const std::vector<int> expected{503, 200, 200};
+  BOOST_TEST(statuses == expected, boost::test_tools::per_element());
+}
+
 }  // namespace
 }  // namespace geraniumspread::transport
--- a/src/transport/transport_types.h
+++ b/src/transport/transport_types.h
@@ -112,6 +112,9 @@
 struct ServerLimits {
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint64_t max_body_bytes = std::uint64_t{4} << 20U;
+  // Request bodies that are held at one time, over all connections. A body of
+  // unknown length counts with its limit until it is read.
+  std::uint64_t max_held_body_bytes = std::uint64_t{96} << 20U;
   std::size_t max_connections = 10'000;
   Duration read_timeout = std::chrono::seconds(20);
   Duration idle_timeout = std::chrono::seconds(60);
