--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -96,7 +96,7 @@
 std::vector<std::string> ExpireRemovals(UpstreamTable& table, TimePoint now) {
   std::vector<std::string> due;
   for (const auto& [id, row] : table.rows) {
-    if (row->removal_at && *row->removal_at <= now) {
+    if (row->removal_at.value_or(TimePoint::max()) <= now) {
       due.push_back(id);
     }
   }
--- a/src/dispatch/tests/published_state_test.cc
+++ b/src/dispatch/tests/published_state_test.cc
@@ -38,10 +38,10 @@
   ReplaceState(state, {{"a", "1", 1}}, 5);
   ApplyChanges(state, {{"a", "2", 6}}, 6);
   ApplyChanges(state, {{"a", {}, 7, true}}, 7);
-  const auto changes = ChangesSince(state, 6);
-  BOOST_TEST_REQUIRE(changes.has_value());
-  BOOST_TEST(changes->size() == 1U);
-  BOOST_TEST(changes->front().removed);
+  const std::vector<PublishedItem> changes =
+      ChangesSince(state, 6).value_or(std::vector<PublishedItem>{});
+  BOOST_TEST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST(changes.front().removed);
   BOOST_TEST(!ChangesSince(state, 4).has_value());
 }
 
@@ -54,7 +54,7 @@
   }
   BOOST_TEST(state.recent.size() <= 64U);
   BOOST_TEST(!ChangesSince(state, 2).has_value());
-  BOOST_TEST(ChangesSince(state, 498)->size() == 1U);
+  BOOST_TEST(ChangesSince(state, 498).value_or(std::vector<PublishedItem>{}).size() == 1U);
 }
 
 }  // namespace
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -158,11 +158,10 @@
     edge->behind_since.reset();
     return;
   }
-  if (!edge->behind_since) {
-    edge->behind_since = now;
-  }
+  const TimePoint behind_since = edge->behind_since.value_or(now);
+  edge->behind_since = behind_since;
   const Duration grace = edge->feed_reachable ? kFeedGrace : Duration{0};
-  if (edge->pulling || *edge->behind_since + grace > now) {
+  if (edge->pulling || behind_since + grace > now) {
     return;
   }
   edge->pulling = true;
--- a/src/edge/tests/event_splitter_test.cc
+++ b/src/edge/tests/event_splitter_test.cc
@@ -16,7 +16,7 @@
     events += TakeEvents(splitter, std::string_view(kStream).substr(cut));
     BOOST_TEST(events == kStream);
     BOOST_TEST(splitter.pending.empty());
-    BOOST_TEST(splitter.last_id.value() == 2U);
+    BOOST_TEST(splitter.last_id.value_or(0) == 2U);
     BOOST_TEST(!splitter.out_of_order);
   }
 }
