Add geranium_ctl trace, which prints the story of a request

Cause: the way from a request's id to its cause led through the logs of many instances by hand. The command orders the lines of one request and adds what its instances came to believe shortly before, of the upstreams that it was sent to and of configuration, failure domains and the store.

--- a/apps/geranium_ctl/command_line.cc
+++ b/apps/geranium_ctl/command_line.cc
@@ -126,6 +126,7 @@
   explain SHEET --workspace W --chat C [--model M]
                                           show what the configuration decides for a chat
   status --routers HOST:PORT,...          compare the configuration of running routers
+  trace REQUEST_ID LOG...                 show the story of a request from the logs of many instances
 
 Flags:
   --output text|json   form of the report on standard output (default text)
@@ -134,7 +135,7 @@
 
 Exit codes:
   0  success; warnings may have been printed
-  1  the sheet or the compiled configuration has errors
+  1  the sheet or the compiled configuration has errors, or no line names the request
   2  bad command, flag or argument
   3  a file or a router can't be read or written
   4  diff found differences, or status found alarms or disagreement
--- a/apps/geranium_ctl/command_line.h
+++ b/apps/geranium_ctl/command_line.h
@@ -13,7 +13,7 @@
 // Exit codes of geranium_ctl; docs/operators.md lists them.
 enum class ExitCode : int {
   kSuccess = 0,
-  kInvalid = 1,      // the sheet or the compiled configuration has errors
+  kInvalid = 1,      // errors in the sheet or configuration, or no line names the request
   kUsage = 2,        // bad command, flag or argument
   kUnavailable = 3,  // a file or a router can't be read or written
   kFound = 4,        // differences, alarms or disagreement were found
--- a/apps/geranium_ctl/run.cc
+++ b/apps/geranium_ctl/run.cc
@@ -6,6 +6,7 @@
 
 #include "geranium_ctl/sheet_commands.h"
 #include "geranium_ctl/status_command.h"
+#include "geranium_ctl/trace_command.h"
 
 namespace geraniumspread::ctl {
 namespace {
@@ -15,11 +16,12 @@
   ExitCode (*run)(const CommandLine& line, std::ostream& out);
 };
 
-constexpr std::array<Command, 5> kCommands{{{"check", &CheckSheet},
+constexpr std::array<Command, 6> kCommands{{{"check", &CheckSheet},
                                             {"compile", &CompileSheet},
                                             {"diff", &DiffSheet},
                                             {"explain", &ExplainChat},
-                                            {"status", &ShowStatus}}};
+                                            {"status", &ShowStatus},
+                                            {"trace", &ShowTrace}}};
 
 ExitCode RunCommand(const CommandLine& line, std::ostream& out) {
   const auto* command = std::ranges::find(kCommands, line.command, &Command::name);
