Test that only the outcome forbids another attempt of an order

Cause: with the check for orders switched off in a scratch copy the test still passed, as the route of the test allowed one attempt anyway. Its routes allow two now, and the test fails without the check (two sends).

--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -91,7 +91,8 @@
   route.timeout = std::chrono::seconds(2);
   route.latency_goal = std::chrono::milliseconds(100);
   route.pause_goal = std::chrono::milliseconds(100);
-  route.max_attempts = repeatability == dispatch::Repeatability::kNonRepeatable ? 1 : 2;
+  // More than an order may use, so that only its outcome forbids another attempt.
+  route.max_attempts = 2;
   route.services = {{"app", 1}};
   return route;
 }
