--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -31,7 +31,6 @@
   bool is_engine = false;
   Prompt prompt;
   std::size_t body_bytes = 0;
-  Repeatability repeatability = Repeatability::kNonRepeatable;
   std::string_view own_domain;
   // StableHash of the instance's name and those of the others that it knows.
   std::uint64_t own_hash = 0;
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -90,7 +90,6 @@
   question.is_engine = run.service.is_engine;
   question.prompt = run.request.prompt;
   question.body_bytes = run.request.body.size();
-  question.repeatability = run.route.repeatability;
   question.own_domain = edge.settings.failure_domain;
   question.own_hash = StableHash(edge.settings.address);
   question.peer_hashes = peer_hashes;
