--- a/src/router/internal/entry_flow.cc
+++ b/src/router/internal/entry_flow.cc
@@ -6,6 +6,7 @@
 #include "common/hash.h"
 #include "common/secure_bytes.h"
 #include "observability/log.h"
+#include "router/internal/error_answers.h"
 #include "router/internal/request_run.h"
 #include "router/internal/share_loans.h"
 #include "router/internal/workspace_admission.h"
@@ -42,14 +43,6 @@
   TimePoint admitted_at;
 };
 
-HttpResponse ToErrorResponse(const RequestError& error, RunState ran, std::string_view request_id) {
-  return transport::MakeErrorResponse({.status = error.status,
-                                       .code = error.code,
-                                       .message = error.message,
-                                       .ran = ran,
-                                       .request_id = request_id});
-}
-
 // A call that carries a ticket may have run before, so a refusal that looks at
 // nothing but the request can't say that it has not.
 bool HasTicket(const transport::HttpRequest& request) {
@@ -60,12 +53,12 @@
                                             const CallerRequest& request) {
   const auto error = outcomes::CheckQuarantine(context.state->quarantine, request.fingerprint,
                                                RuntimeClock::now());
-  return error ? std::optional(detail::ToResponse(*error, request.request_id)) : std::nullopt;
+  return error ? std::optional(ToResponse(*error, request.request_id)) : std::nullopt;
 }
 
 // Answers 428 with a fresh ticket, so that a caller without one needs no other call.
 HttpResponse AskForTicket(RouterContext& context, const CallerRequest& request) {
-  HttpResponse response = detail::ToResponse(
+  HttpResponse response = ToResponse(
       outcomes::MakeOutcomeError(outcomes::OutcomeCode::kTicketRequired), request.request_id);
   const auto ticket = outcomes::IssueTicket(context.state->tickets, RandomHex(kTicketRandomBytes),
                                             RuntimeClock::now());
@@ -79,7 +72,7 @@
   const auto ticket = outcomes::IssueTicket(context.state->tickets, RandomHex(kTicketRandomBytes),
                                             RuntimeClock::now());
   if (!ticket) {
-    return detail::ToResponse(ticket.error(), request_id);
+    return ToResponse(ticket.error(), request_id);
   }
   HttpResponse response;
   transport::SetHeader(response.headers, "Content-Type", "application/json");
@@ -136,7 +129,7 @@
   }
   const auto ticket = outcomes::ParseTicket(request.ticket, context.state->identity.shared_key);
   if (!ticket) {
-    co_await responder.Send(detail::ToResponse(ticket.error(), request.request_id));
+    co_await responder.Send(ToResponse(ticket.error(), request.request_id));
     co_return;
   }
   const auto responsible =
@@ -154,8 +147,8 @@
     const auto code = route == outcomes::TicketRoute::kGone
                           ? outcomes::OutcomeCode::kOutcomeUnknown
                           : outcomes::OutcomeCode::kTicketRouterUnreachable;
-    co_await responder.Send(detail::ToResponse(
-        outcomes::MakeOutcomeError(code, kStartingRetryAfter), request.request_id));
+    co_await responder.Send(
+        ToResponse(outcomes::MakeOutcomeError(code, kStartingRetryAfter), request.request_id));
   }
 }
 
@@ -195,26 +188,6 @@
 
 }  // namespace
 
-HttpResponse ToResponse(const admission::Refusal& refusal, std::string_view request_id) {
-  return transport::MakeErrorResponse({.status = refusal.status,
-                                       .code = admission::ToString(refusal.code),
-                                       .message = admission::MessageOf(refusal.code),
-                                       .ran = refusal.ran,
-                                       .retry = refusal.retry,
-                                       .retry_after = refusal.retry_after,
-                                       .request_id = request_id});
-}
-
-HttpResponse ToResponse(const outcomes::OutcomeError& error, std::string_view request_id) {
-  return transport::MakeErrorResponse({.status = error.status,
-                                       .code = outcomes::ToString(error.code),
-                                       .message = outcomes::MessageOf(error.code),
-                                       .ran = error.ran,
-                                       .retry = error.retry,
-                                       .retry_after = error.retry_after,
-                                       .request_id = request_id});
-}
-
 boost::asio::awaitable<void> ServeTicketedCall(RouterContext& context,
                                                CallerRequest request,
                                                HttpResponder& responder) {
--- a/src/router/internal/entry_flow.h
+++ b/src/router/internal/entry_flow.h
@@ -28,10 +28,6 @@
                                                CallerRequest request,
                                                transport::HttpResponder& responder);
 
-transport::HttpResponse ToResponse(const admission::Refusal& refusal, std::string_view request_id);
-transport::HttpResponse ToResponse(const outcomes::OutcomeError& error,
-                                   std::string_view request_id);
-
 }  // namespace geraniumspread::router::detail
 
 #endif  // ROUTER_INTERNAL_ENTRY_FLOW_H_
--- a/src/router/internal/owner_flow.cc
+++ b/src/router/internal/owner_flow.cc
@@ -5,6 +5,7 @@
 
 #include "router/internal/attempt.h"
 #include "router/internal/entry_flow.h"
+#include "router/internal/error_answers.h"
 #include "router/internal/peer_client.h"
 #include "router/internal/placement_hints.h"
 
--- a/src/router/internal/request_run.cc
+++ b/src/router/internal/request_run.cc
@@ -7,7 +7,7 @@
 
 #include "common/hash.h"
 #include "observability/log.h"
-#include "router/internal/entry_flow.h"
+#include "router/internal/error_answers.h"
 #include "router/internal/placement_hints.h"
 #include "router/internal/stream_relay.h"
 
