Test the promises of the log, and measure connects, pauses and store calls

Promises without a test: a line for each outcome, the bound under a flood, no block on a full pipe, no key or contents in a line. The tests found two gaps: requests that can't be read (framing, size) left no line, now request_unreadable; and a flood of successes took the whole budget from the failures, now the last half of the budget is left to warnings, and failed attempts and refusals are warnings. The budget runs on the runtime's clock, so the test pauses it.

New histograms: connect, pause within a stream, store call, state pull. Answers are decoded once instead of twice. Two decoded fields that nothing read are gone.

--- a/apps/geranium_edge/main.cc
+++ b/apps/geranium_edge/main.cc
@@ -111,6 +111,9 @@
     edge.OnPublishedChanges(std::move(changes), revision);
   };
   events.on_reachable = [&edge](bool reachable) { edge.OnFeedReachable(reachable); };
+  events.on_call = [&edge](geraniumspread::Duration elapsed, bool answered) {
+    edge.NoteFeedCall(elapsed, answered);
+  };
   events.should_read = [&edge] { return edge.ShouldReadStore(); };
   events.revision = [&edge] { return edge.PublishedRevision(); };
   return events;
--- a/src/common/tests/common_test.cc
+++ b/src/common/tests/common_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "common/base64.h"
 #include "common/common_types.h"
 #include "common/hash.h"
 #include "common/runtime_clock.h"
@@ -46,5 +47,19 @@
   BOOST_TEST((untouched == PriorityClass::kBatch));
 }
 
+// Guards against damaged text that is taken for bytes: published values and handed-over answers
+// travel as base64.
+BOOST_AUTO_TEST_CASE(Base64IsReadWholeOrNotAtAll) {
+  for (const std::string& bytes : {std::string(), std::string("a"), std::string("ab"),
+                                   std::string("abc"), std::string("\0\xff\x80", 3)}) {
+    BOOST_TEST(DecodeBase64(EncodeBase64(bytes)).value_or("none") == bytes);
+  }
+  BOOST_TEST(EncodeBase64("abcd") == "YWJjZA==");
+  for (const std::string_view damaged :
+       {"YWJjZA=", "YW=jZA==", "YWJj\nA==", " YWJjZA=", "YW?jZA==", "===="}) {
+    BOOST_TEST(!DecodeBase64(damaged).has_value(), damaged);
+  }
+}
+
 }  // namespace
 }  // namespace geraniumspread
--- a/src/dispatch/routing_config.h
+++ b/src/dispatch/routing_config.h
@@ -42,9 +42,6 @@
 
 struct ServiceRules {
   std::string name;
-  std::string health_path;
-  // Over all callers of an upstream.
-  std::uint32_t max_connections = 0;
   // Requests that a cold upstream bears in a second; 0 without a cold limit.
   double cold_requests_per_second = 0;
   bool is_engine = false;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -37,6 +37,7 @@
   void OnPublishedChanges(std::vector<dispatch::PublishedItem> changes, std::uint64_t revision);
   void OnPublishedState(std::vector<dispatch::PublishedItem> items, std::uint64_t revision);
   void OnFeedReachable(bool reachable);
+  void NoteFeedCall(Duration elapsed, bool answered);
   std::uint64_t PublishedRevision() const;
   // False while enough other instances follow the feed and this one copies from them.
   bool ShouldReadStore();
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -30,6 +30,10 @@
 constexpr Duration kTrustedSilence = std::chrono::milliseconds(250);
 constexpr int kFirstFailureStatus = 500;
 
+void ObserveTime(const RequestRun& run, std::string_view name, Duration time) {
+  run.edge->metrics.ObserveSeconds(name, std::chrono::duration<double>(time).count());
+}
+
 transport::ExchangeTimeouts TimeoutsOf(const RequestRun& run) {
   const Duration remaining = Remaining(run);
   transport::ExchangeTimeouts timeouts;
@@ -89,12 +93,18 @@
   EventSplitter splitter;
   splitter.last_id = run.last_event_id;
   splitter.skip_through = run.last_event_id;
+  TimePoint heard_at = RuntimeClock::now();
   while (true) {
     auto bytes = co_await exchange.ReadSome();
     if (!bytes) {
       co_return std::string(transport::ToString(bytes.error().code));
     }
-    run.active_upstream->heard_at = RuntimeClock::now();
+    const TimePoint now = RuntimeClock::now();
+    if (run.stream_started) {
+      ObserveTime(run, "geranium_pause_seconds", now - heard_at);
+    }
+    heard_at = now;
+    run.active_upstream->heard_at = now;
     const bool at_end = bytes.value().empty();
     const std::string events = TakeEvents(splitter, bytes.value());
     if (!events.empty()) {
@@ -102,9 +112,7 @@
     }
     if (!run.stream_started && (!events.empty() || at_end)) {
       run.stream_started = true;
-      run.edge->metrics.ObserveSeconds(
-          "geranium_first_byte_seconds",
-          std::chrono::duration<double>(RuntimeClock::now() - run.started).count());
+      ObserveTime(run, "geranium_first_byte_seconds", RuntimeClock::now() - run.started);
       transport::HttpHeaders headers = answer.caller_headers;
       if (!co_await responder.StartStream(head.status, std::move(headers))) {
         co_return "caller_gone";
@@ -263,15 +271,19 @@
   dispatch::RunningRequest running(chosen.row, chosen.uncached_tokens);
   NoteSend(run, chosen);
   transport::HttpExchange exchange(run.edge->connections, *endpoint, TimeoutsOf(run));
-  exchange.SkipForeignAnswers([&run](const transport::HttpResponse& head) {
-    const std::string echoed = run.edge->codec.decode_answer(head).echoed_request_id;
-    return echoed.empty() || echoed == run.request.id;
+  UpstreamAnswer answer;
+  exchange.SkipForeignAnswers([&run, &answer](const transport::HttpResponse& head) {
+    answer = run.edge->codec.decode_answer(head);
+    return answer.echoed_request_id.empty() || answer.echoed_request_id == run.request.id;
   });
   run.active = &exchange;
   run.active_upstream = chosen.row;
   transport::HttpRequest request =
       run.edge->codec.encode_upstream_request(run.request, CallOf(run, chosen));
   auto head = co_await exchange.Start(std::move(request), PolicyOf(run, upstream));
+  if (const auto connect_time = exchange.ConnectTime(); connect_time) {
+    ObserveTime(run, "geranium_connect_seconds", *connect_time);
+  }
   if (!head) {
     run.active = nullptr;
     const Attempt attempt = Failed(run, upstream, head.error());
@@ -281,7 +293,6 @@
     }
     co_return attempt;
   }
-  const UpstreamAnswer answer = run.edge->codec.decode_answer(head.value());
   upstream.heard_at = RuntimeClock::now();
   TakeReport(run, upstream, answer);
   const bool is_success = head.value().status >= 200 && head.value().status < 300;
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -184,6 +184,12 @@
       !result) {
     return result;
   }
+  this->state->caller_server->OnUnreadable(
+      [edge = std::weak_ptr(this->state)](const transport::UnreadableRequest& request) {
+        if (const auto current = edge.lock(); current) {
+          detail::NoteUnreadable(*current, request);
+        }
+      });
   if (auto result = Listen(this->state, this->state->readiness_server, settings.readiness_endpoint,
                            detail::ServeReadiness);
       !result) {
@@ -256,6 +262,12 @@
   return reads;
 }
 
+void Edge::NoteFeedCall(Duration elapsed, bool answered) {
+  this->state->metrics.ObserveSeconds("geranium_feed_call_seconds",
+                                      std::chrono::duration<double>(elapsed).count(),
+                                      {{"result", answered ? "answered" : "failed"}});
+}
+
 void Edge::OnFeedReachable(bool reachable) {
   if (this->state->feed_reachable && !reachable) {
     observability::LogEvent(observability::LogLevel::kWarn, "store_lost",
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -77,9 +77,13 @@
   timeouts.connect = std::chrono::milliseconds(250);
   timeouts.first_byte = std::chrono::milliseconds(500);
   timeouts.between_bytes = std::chrono::milliseconds(500);
+  const TimePoint asked_at = RuntimeClock::now();
   auto response = co_await transport::Fetch(edge->connections, std::move(endpoint),
                                             std::move(request), timeouts, kMaxStateBytes);
   edge->pulling = false;
+  edge->metrics.ObserveSeconds(
+      "geranium_peer_pull_seconds",
+      std::chrono::duration<double>(RuntimeClock::now() - asked_at).count());
   std::optional<StateTransfer> transfer;
   if (response && response.value().status == 200) {
     transfer = DecodeTransfer(response.value().body);
@@ -122,6 +126,7 @@
       edge->metrics.Count("geranium_digests_refused_total");
       continue;
     }
+    edge->metrics.Count("geranium_digests_received_total");
     const auto change =
         dispatch::ApplyDigest(edge->peers, edge->upstreams, *digest, RuntimeClock::now());
     if (change != dispatch::PeerChange::kNone) {
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -39,7 +39,7 @@
                              std::string request_id,
                              Refusal refusal,
                              transport::HttpResponder& responder) {
-  LogEvent(LogLevel::kInfo, "request_refused",
+  LogEvent(LogLevel::kWarn, "request_refused",
            {{"request_id", request_id},
             {"status", refusal.status},
             {"code", refusal.code},
@@ -136,7 +136,8 @@
   if (attempt.result == AttemptResult::kDelivered && run.sends == 1 && !IsSampled(run)) {
     return;
   }
-  LogEvent(LogLevel::kInfo, "attempt",
+  LogEvent(attempt.result == AttemptResult::kDelivered ? LogLevel::kInfo : LogLevel::kWarn,
+           "attempt",
            {{"request_id", run.request.id},
             {"route", run.route.name},
             {"upstream", run.tried.back()},
@@ -282,12 +283,18 @@
   const bool granted =
       dispatch::TakeRetry(edge.retries, run.service.name, instances, RuntimeClock::now());
   if (!granted) {
-    LogEvent(LogLevel::kInfo, "retry_budget_empty",
+    LogEvent(LogLevel::kWarn, "retry_budget_empty",
              {{"request_id", run.request.id}, {"service", run.service.name}});
   }
   return granted;
 }
 
+void NoteUnreadable(EdgeState& edge, const transport::UnreadableRequest& request) {
+  LogEvent(LogLevel::kWarn, "request_unreadable",
+           {{"status", request.status}, {"code", request.code}});
+  edge.metrics.Count("geranium_refusals_total", {{"code", request.code}});
+}
+
 asio::awaitable<void> HandleCaller(Edge edge,
                                    transport::HttpRequest raw,
                                    transport::HttpResponder& responder) {
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -61,6 +61,9 @@
 // Whether the request may be sent to one more upstream after `ran`.
 bool MayTryAgain(RequestRun& run, RunState ran);
 
+// A request that could not be read; it has no id.
+void NoteUnreadable(EdgeState& edge, const transport::UnreadableRequest& request);
+
 // Handles one request of a caller from its head to the end of its answer.
 boost::asio::awaitable<void> HandleCaller(Edge edge,
                                           transport::HttpRequest raw,
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -112,6 +112,7 @@
     }
     config.services["app"].name = "app";
     config.keys["key"] = {"blue", std::nullopt};
+    config.keys["s3cret-key"] = {"blue", std::nullopt};
     config.has_workspaces = true;
     return config;
   }
@@ -250,6 +251,7 @@
   this->settings.metrics_endpoint = transport::FreeEndpoint(this->io, kFirstPort);
   this->settings.digest_port = transport::FreeEndpoint(this->io, kFirstPort).port;
   this->settings.retries.slack = 100;
+  this->settings.log_one_in = 1;
   this->settings.stop_grace = std::chrono::milliseconds(3500);
   this->edge = std::make_unique<Edge>(this->io, this->settings, TestCodec());
   if (const auto started = this->edge->Start(); !started) {
--- a/src/fleet/internal/message_json.cc
+++ b/src/fleet/internal/message_json.cc
@@ -1,12 +1,12 @@
 #include "fleet/internal/message_json.h"
 
-#include <openssl/evp.h>
-
 #include <algorithm>
 #include <limits>
 #include <optional>
 #include <utility>
 
+#include "common/base64.h"
+
 namespace geraniumspread::fleet::detail {
 namespace {
 
@@ -130,15 +130,6 @@
   std::optional<FleetError> error;
 };
 
-std::string Base64Encode(const std::string& bytes) {
-  std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-  const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                                     reinterpret_cast<const unsigned char*>(bytes.data()),
-                                     static_cast<int>(bytes.size()));
-  text.resize(static_cast<std::size_t>(length));
-  return text;
-}
-
 // True for ASCII text that JSON escapes make less than a third longer.
 bool IsShorterAsText(const std::string& bytes) {
   std::size_t escaped = 0;
@@ -152,26 +143,6 @@
   return escaped < bytes.size() / 3;
 }
 
-std::optional<std::string> Base64Decode(const std::string& text) {
-  if (text.size() % 4 != 0) {
-    return std::nullopt;
-  }
-  const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with('=') ? 1 : 0);
-  // OpenSSL takes a padding character in the middle for a zero.
-  if (text.find('=') < text.size() - padding) {
-    return std::nullopt;
-  }
-  std::string bytes(text.size() / 4 * 3, '\0');
-  const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                                     reinterpret_cast<const unsigned char*>(text.data()),
-                                     static_cast<int>(text.size()));
-  if (length < 0 || static_cast<std::size_t>(length) != bytes.size()) {
-    return std::nullopt;
-  }
-  bytes.resize(bytes.size() - padding);
-  return bytes;
-}
-
 void WriteConfig(Json::Value& object, const ConfigVersion& config) {
   if (config.version != 0) {
     object["config_version"] = Json::UInt64(config.version);
@@ -271,7 +242,7 @@
   Json::Value object(Json::objectValue);
   WriteConfig(object, message.config);
   if (message.manifest) {
-    object["manifest"] = Base64Encode(*message.manifest);
+    object["manifest"] = EncodeBase64(*message.manifest);
   }
   return object;
 }
@@ -294,7 +265,7 @@
   if (IsShorterAsText(message.bytes)) {
     object["text"] = message.bytes;
   } else {
-    object["bytes"] = Base64Encode(message.bytes);
+    object["bytes"] = EncodeBase64(message.bytes);
   }
   return object;
 }
@@ -451,7 +422,7 @@
   if (!reader.Has("manifest")) {
     return;
   }
-  auto manifest = Base64Decode(reader.Text("manifest", kMaxOfferedManifestBytes * 2));
+  auto manifest = DecodeBase64(reader.Text("manifest", kMaxOfferedManifestBytes * 2));
   if (!manifest) {
     reader.Fail("manifest", "no base64");
     return;
@@ -473,7 +444,7 @@
     message.bytes = reader.Text("text", kMaxPartBytes);
     return;
   }
-  auto bytes = Base64Decode(reader.Text("bytes", kMaxPartBytes * 2));
+  auto bytes = DecodeBase64(reader.Text("bytes", kMaxPartBytes * 2));
   if (!bytes || bytes->size() > kMaxPartBytes) {
     reader.Fail("bytes", "no base64 within its limit");
     return;
--- a/src/observability/internal/log.cc
+++ b/src/observability/internal/log.cc
@@ -18,9 +18,14 @@
 #include <memory>
 #include <string>
 
+#include "common/runtime_clock.h"
+
 namespace geraniumspread::observability {
 namespace {
 
+// Failed and refused requests are logged as warnings and keep their lines longest.
+constexpr double kPartForWarnings = 0.5;
+
 // Writes lines to a descriptor that may be a full pipe. A budget in bytes bounds
 // the volume under load.
 class BoundedOutputAppender final : public log4cplus::Appender {
@@ -29,7 +34,7 @@
       : descriptor(output),
         rate(static_cast<double>(bytes_per_second)),
         budget(rate),
-        filled_at(std::chrono::steady_clock::now()) {
+        filled_at(RuntimeClock::now()) {
     fcntl(this->descriptor, F_SETFL, fcntl(this->descriptor, F_GETFL) | O_NONBLOCK);
   }
   BoundedOutputAppender(const BoundedOutputAppender&) = delete;
@@ -45,7 +50,9 @@
       line =
           R"({"event":"log_lines_dropped","count":)" + std::to_string(this->dropped) + "}\n" + line;
     }
-    if (!this->TakeBudget(line.size()) || !this->Write(line)) {
+    const double reserve =
+        event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL ? 0 : this->rate * kPartForWarnings;
+    if (!this->TakeBudget(line.size(), reserve) || !this->Write(line)) {
       ++this->dropped;
       return;
     }
@@ -53,12 +60,12 @@
   }
 
  private:
-  bool TakeBudget(std::size_t bytes) {
-    const auto now = std::chrono::steady_clock::now();
+  bool TakeBudget(std::size_t bytes, double reserve) {
+    const TimePoint now = RuntimeClock::now();
     const double elapsed = std::chrono::duration<double>(now - this->filled_at).count();
     this->filled_at = now;
     this->budget = std::min(this->rate, this->budget + elapsed * this->rate);
-    if (this->budget < static_cast<double>(bytes)) {
+    if (this->budget < static_cast<double>(bytes) + reserve) {
       return false;
     }
     this->budget -= static_cast<double>(bytes);
@@ -90,7 +97,7 @@
   int descriptor;
   double rate;
   double budget;
-  std::chrono::steady_clock::time_point filled_at;
+  TimePoint filled_at;
   std::string unwritten;
   std::size_t dropped = 0;
 };
--- a/src/observability/log.h
+++ b/src/observability/log.h
@@ -19,7 +19,8 @@
   std::string file;            // empty: standard error
   std::string instance;        // added to each line
   // Writes to standard output and never waits for its reader: lines that don't
-  // fit, or go beyond `bytes_per_second`, are dropped and counted.
+  // fit, or go beyond `bytes_per_second`, are dropped and counted. The last half
+  // of the budget is left to warnings and errors.
   bool to_standard_output = false;
   std::size_t bytes_per_second = std::size_t{64} * 1024;
 };
--- a/src/observability/tests/observability_test.cc
+++ b/src/observability/tests/observability_test.cc
@@ -1,8 +1,14 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
+#include "common/runtime_clock.h"
 #include "observability/log.h"
 #include "observability/metrics.h"
 #include "observability/trace.h"
@@ -66,6 +72,103 @@
   BOOST_TEST(line.at("instance").as_string() == "router-1");
 }
 
+// Standard output is another file while this object lives.
+class RedirectedOutput {
+ public:
+  explicit RedirectedOutput(int target) : saved(dup(STDOUT_FILENO)) { dup2(target, STDOUT_FILENO); }
+  RedirectedOutput(const RedirectedOutput&) = delete;
+  RedirectedOutput& operator=(const RedirectedOutput&) = delete;
+  ~RedirectedOutput() {
+    dup2(this->saved, STDOUT_FILENO);
+    close(this->saved);
+  }
+
+ private:
+  int saved;
+};
+
+constexpr std::size_t kBytesPerSecond = 10'000;
+constexpr int kFloodLines = 20'000;
+
+void LogFlood(LogLevel level, std::string_view event) {
+  for (int line = 0; line < kFloodLines; ++line) {
+    LogEvent(level, event, {{"request_id", "82a8c1e03036b05c"}});
+  }
+}
+
+std::size_t CountLines(const std::filesystem::path& path, std::string_view event) {
+  std::ifstream stream(path);
+  std::size_t count = 0;
+  for (std::string line; std::getline(stream, line);) {
+    count += boost::json::parse(line).at("event").as_string() == event ? 1 : 0;
+  }
+  return count;
+}
+
+// Load pattern: refusals by the thousand within one second.
+// Guards against a log without bound, and against successes that take the place of failures.
+BOOST_AUTO_TEST_CASE(LogStaysWithinItsBudgetAndKeepsWarningsLongest) {
+  const ScopedPausedClock clock;
+  const auto path = TemporaryFile("geranium_log_bound_test.jsonl");
+  const int file = open(path.c_str(), O_WRONLY | O_CREAT, 0600);
+  {
+    const RedirectedOutput output(file);
+    InitializeLog(
+        {.instance = "edge-1", .to_standard_output = true, .bytes_per_second = kBytesPerSecond});
+    LogFlood(LogLevel::kInfo, "attempt");
+    const auto after_successes = std::filesystem::file_size(path);
+    BOOST_TEST(after_successes > kBytesPerSecond / 4);
+    BOOST_TEST(after_successes <= kBytesPerSecond / 2);
+    LogFlood(LogLevel::kWarn, "request_refused");
+    BOOST_TEST(std::filesystem::file_size(path) <= kBytesPerSecond);
+    BOOST_TEST(CountLines(path, "request_refused") > 10U);
+    RuntimeClock::Advance(std::chrono::seconds(1));
+    LogEvent(LogLevel::kInfo, "config_in_force");
+    BOOST_TEST(CountLines(path, "log_lines_dropped") >= 1U);
+    BOOST_TEST(CountLines(path, "config_in_force") == 1U);
+  }
+  InitializeLog({.file = TemporaryFile("geranium_log_after_test.jsonl").string()});
+  close(file);
+}
+
+// Guards against an event loop that waits for a reader of its output: a whole second of lines
+// doesn't fit into a pipe that nobody reads.
+BOOST_AUTO_TEST_CASE(FullPipeBlocksNothingAndBreaksNoLine) {
+  std::array<int, 2> ends{};
+  BOOST_REQUIRE(pipe(ends.data()) == 0);
+  std::string received;
+  {
+    const RedirectedOutput output(ends[1]);
+    InitializeLog({.instance = "edge-1",
+                   .to_standard_output = true,
+                   .bytes_per_second = std::size_t{1} << 30U});
+    // Returning at all is the check: a blocking write would wait forever.
+    LogFlood(LogLevel::kWarn, "request_refused");
+    std::array<char, 65'536> chunk{};
+    const ssize_t first = read(ends[0], chunk.data(), chunk.size());
+    received.append(chunk.data(), static_cast<std::size_t>(first));
+    LogEvent(LogLevel::kInfo, "config_in_force");
+  }
+  InitializeLog({.file = TemporaryFile("geranium_log_after_test.jsonl").string()});
+  close(ends[1]);
+  std::array<char, 65'536> chunk{};
+  for (ssize_t count = read(ends[0], chunk.data(), chunk.size()); count > 0;
+       count = read(ends[0], chunk.data(), chunk.size())) {
+    received.append(chunk.data(), static_cast<std::size_t>(count));
+  }
+  close(ends[0]);
+  std::istringstream lines(received);
+  std::string last;
+  bool told = false;
+  for (std::string line; std::getline(lines, line);) {
+    const boost::json::value parsed = boost::json::parse(line);
+    told = told || parsed.at("event").as_string() == "log_lines_dropped";
+    last = parsed.at("event").as_string();
+  }
+  BOOST_TEST(told);
+  BOOST_TEST(last == "config_in_force");
+}
+
 // Guards against a metric that is registered twice or loses its labels.
 BOOST_AUTO_TEST_CASE(MetricsRenderInTextFormat) {
   Metrics metrics;
--- a/src/outcomes/internal/handover_json.cc
+++ b/src/outcomes/internal/handover_json.cc
@@ -1,48 +1,18 @@
 #include "outcomes/handover_json.h"
 
-#include <openssl/evp.h>
-
 #include <boost/json.hpp>
 #include <charconv>
 #include <limits>
 #include <optional>
 
+#include "common/base64.h"
+
 namespace geraniumspread::outcomes {
 namespace {
 
 namespace json = boost::json;
 
 constexpr std::int64_t kVersion = 1;
-constexpr std::size_t kBase64Group = 4;
-constexpr std::size_t kBytesPerGroup = 3;
-// EVP_EncodeBlock and EVP_DecodeBlock count in int.
-constexpr std::size_t kMaxEncodedLength = std::size_t{1} << 30U;
-
-std::string ToBase64(std::string_view bytes) {
-  std::string text((bytes.size() + kBytesPerGroup - 1) / kBytesPerGroup * kBase64Group + 1, '\0');
-  const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                                     reinterpret_cast<const unsigned char*>(bytes.data()),
-                                     static_cast<int>(bytes.size()));
-  text.resize(static_cast<std::size_t>(length));
-  return text;
-}
-
-std::optional<std::string> FromBase64(std::string_view text) {
-  if (text.size() % kBase64Group != 0 || text.size() > kMaxEncodedLength) {
-    return std::nullopt;
-  }
-  std::string bytes(text.size() / kBase64Group * kBytesPerGroup, '\0');
-  const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                                     reinterpret_cast<const unsigned char*>(text.data()),
-                                     static_cast<int>(text.size()));
-  if (length < 0) {
-    return std::nullopt;
-  }
-  // EVP_DecodeBlock turns the padding into zero bytes.
-  const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with('=') ? 1 : 0);
-  bytes.resize(static_cast<std::size_t>(length) - padding);
-  return bytes;
-}
 
 std::string_view ToString(TicketState state) {
   return state == TicketState::kFinished ? "finished" : "unknown";
@@ -66,7 +36,7 @@
   }
 
   std::string ReadBytes(std::string_view key) {
-    std::optional<std::string> bytes = FromBase64(this->ReadString(key));
+    std::optional<std::string> bytes = DecodeBase64(this->ReadString(key));
     this->failed = this->failed || !bytes;
     return std::move(bytes).value_or(std::string());
   }
@@ -128,8 +98,8 @@
   object["expires_at_ms"] = ticket.expires_at.count();
   object["kept"] = ticket.response_kept;
   object["status"] = ticket.response.status;
-  object["content_type"] = ToBase64(ticket.response.content_type);
-  object["body"] = ToBase64(ticket.response.body);
+  object["content_type"] = EncodeBase64(ticket.response.content_type);
+  object["body"] = EncodeBase64(ticket.response.body);
   return object;
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -63,6 +63,8 @@
   void Cancel();
   ExchangePhase Phase() const;
   bool UsedPooledConnection() const;
+  // Nothing for a connection that was open before, or was not opened.
+  std::optional<Duration> ConnectTime() const;
 
  private:
   std::shared_ptr<detail::Connection> connection;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -44,6 +44,13 @@
 using HttpHandler =
     std::function<boost::asio::awaitable<void>(HttpRequest request, HttpResponder& responder)>;
 
+// A request that could not be read and never reached the handler. `status` is the one of its
+// answer; 0 when the connection was closed without one.
+struct UnreadableRequest {
+  int status = 0;
+  std::string_view code;
+};
+
 // An HTTP/1.1 server for one listening address.
 class HttpServer {
  public:
@@ -55,6 +62,8 @@
 
   // Starts to accept. Port 0 takes a free port; the port in use is returned.
   Result<std::uint16_t> Listen(const Endpoint& endpoint);
+  // `callback` is told of each request that can't be read.
+  void OnUnreadable(std::function<void(const UnreadableRequest&)> callback);
   // Applies to requests that are read from now on.
   void SetLimits(const ServerLimits& limits);
   // Still accepts, and closes each connection after its next answer.
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -118,6 +118,7 @@
   bool is_head = false;
   bool request_written = false;
   error_code write_error;
+  std::optional<Duration> connect_time;
   std::function<bool(const HttpResponse&)> belongs;
 
   void Close() {
@@ -175,9 +176,11 @@
     }
   }
   error_code error;
+  TimePoint started_at;
   const auto address = asio::ip::make_address(connection->endpoint.address, error);
   if (!error) {
     connection->deadline.Arm(connection->timeouts.connect);
+    started_at = RuntimeClock::now();
     std::tie(error) = co_await connection->socket.async_connect(
         Tcp::endpoint(address, connection->endpoint.port), kAwaitTuple);
   }
@@ -185,6 +188,7 @@
     co_return connection->Failure(error);
   }
   connection->deadline.Disarm();
+  connection->connect_time = RuntimeClock::now() - started_at;
   connection->socket.set_option(Tcp::no_delay(true), error);
   co_return std::nullopt;
 }
@@ -301,6 +305,10 @@
   return this->connection->phase;
 }
 
+std::optional<Duration> HttpExchange::ConnectTime() const {
+  return this->connection->connect_time;
+}
+
 bool HttpExchange::UsedPooledConnection() const {
   return this->connection->pooled;
 }
--- a/src/transport/internal/http_server.cc
+++ b/src/transport/internal/http_server.cc
@@ -81,6 +81,7 @@
   asio::any_io_executor executor;
   ServerLimits limits;
   HttpHandler handler;
+  std::function<void(const UnreadableRequest&)> on_unreadable;
   Tcp::acceptor acceptor;
   std::unordered_set<ServerSession*> sessions;
   std::size_t active_requests = 0;
@@ -297,9 +298,16 @@
   }
 }
 
+void TellUnreadable(const ServerSession& session, const UnreadableRequest& request) {
+  if (session.server->on_unreadable) {
+    session.server->on_unreadable(request);
+  }
+}
+
 asio::awaitable<void> RefuseRequest(const std::shared_ptr<ServerSession>& session,
                                     RequestFailure failure) {
   session->keep_alive = false;
+  TellUnreadable(*session, {.status = failure.status, .code = failure.code});
   SessionResponder responder(session, false);
   co_await responder.Send(MakeErrorResponse(
       {.status = failure.status, .code = failure.code, .message = failure.message}));
@@ -354,6 +362,8 @@
   if (error) {
     if (const auto failure = DescribeReadFailure(error); failure && !expired) {
       co_await RefuseRequest(session, *failure);
+    } else if (expired && !session->is_idle) {
+      TellUnreadable(*session, {.status = 0, .code = "request_too_slow"});
       co_await DiscardUnread(session);
     }
     co_return std::nullopt;
@@ -429,6 +439,10 @@
   return port;
 }
 
+void HttpServer::OnUnreadable(std::function<void(const UnreadableRequest&)> callback) {
+  this->state->on_unreadable = std::move(callback);
+}
+
 void HttpServer::SetLimits(const ServerLimits& limits) {
   this->state->limits = limits;
 }
