--- a/apps/geranium_ctl/command_line.cc
+++ b/apps/geranium_ctl/command_line.cc
@@ -125,6 +125,9 @@
   diff SHEET --against DIR                list changes against a compiled configuration
   explain SHEET --workspace W --chat C [--model M]
                                           show what the configuration decides for a chat
+  instances [SERVICE] --routers HOST:PORT,...
+                                          show what instances of geranium_edge believe, by their
+                                          metrics addresses, or where a request of SERVICE would go
   status --routers HOST:PORT,...          compare the configuration of running routers
   trace REQUEST_ID LOG...                 show the story of a request from the logs of many instances
 
@@ -138,7 +141,7 @@
   1  the sheet or the compiled configuration has errors, or no line names the request
   2  bad command, flag or argument
   3  a file or a router can't be read or written
-  4  diff found differences, or status found alarms or disagreement
+  4  diff or instances found differences, or status found alarms or disagreement
 )";
 }
 
--- a/apps/geranium_ctl/run.cc
+++ b/apps/geranium_ctl/run.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <string_view>
 
+#include "geranium_ctl/instances_command.h"
 #include "geranium_ctl/sheet_commands.h"
 #include "geranium_ctl/status_command.h"
 #include "geranium_ctl/trace_command.h"
@@ -16,10 +17,11 @@
   ExitCode (*run)(const CommandLine& line, std::ostream& out);
 };
 
-constexpr std::array<Command, 6> kCommands{{{"check", &CheckSheet},
+constexpr std::array<Command, 7> kCommands{{{"check", &CheckSheet},
                                             {"compile", &CompileSheet},
                                             {"diff", &DiffSheet},
                                             {"explain", &ExplainChat},
+                                            {"instances", &ShowInstances},
                                             {"status", &ShowStatus},
                                             {"trace", &ShowTrace}}};
 
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -10,6 +10,7 @@
 #include "edge/internal/peer_exchange.h"
 #include "edge/internal/published_feed.h"
 #include "edge/internal/request_run.h"
+#include "edge/internal/status_page.h"
 
 namespace geraniumspread::edge {
 namespace detail {
@@ -114,11 +115,20 @@
   co_await responder.Send(std::move(response));
 }
 
+// Also serves what operators ask of a running instance.
 asio::awaitable<void> ServeMetrics(Edge edge,
-                                   transport::HttpRequest /*request*/,
+                                   transport::HttpRequest request,
                                    transport::HttpResponder& responder) {
-  transport::HttpResponse response(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                                   edge->metrics.Render());
+  static constexpr std::string_view kExplain = "/explain?service=";
+  transport::HttpResponse response(200, {{"Content-Type", "application/json"}});
+  if (request.target == "/status") {
+    response.body = StatusPage(*edge);
+  } else if (request.target.starts_with(kExplain)) {
+    response.body = ExplainPage(*edge, std::string_view(request.target).substr(kExplain.size()));
+  } else {
+    response = transport::HttpResponse(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                                       edge->metrics.Render());
+  }
   co_await responder.Send(std::move(response));
 }
 
--- /dev/null
+++ b/src/edge/internal/status_page.cc
@@ -0,0 +1,126 @@
+#include "edge/internal/status_page.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+#include <cmath>
+
+#include "common/hash.h"
+#include "dispatch/selection.h"
+
+namespace geraniumspread::edge::detail {
+namespace {
+
+namespace json = boost::json;
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+// 0 when the time has passed.
+std::int64_t MillisecondsUntil(TimePoint time, TimePoint now) {
+  return Milliseconds(std::max(Duration{0}, time - now));
+}
+
+json::array NamesOf(const std::set<std::string, std::less<>>& names) {
+  json::array list;
+  for (const std::string& name : names) {
+    list.emplace_back(name);
+  }
+  return list;
+}
+
+json::object PeerRow(const EdgeState& edge, const dispatch::Peer& peer, TimePoint now) {
+  return {{"instance", peer.digest.instance},
+          {"address", peer.digest.address},
+          {"failure_domain", peer.digest.failure_domain},
+          {"live", dispatch::IsLive(edge.peers, peer, now)},
+          {"leaving", peer.digest.leaving},
+          {"reads_store", peer.digest.reads_store},
+          {"published_revision", peer.digest.published_revision},
+          {"heard_ms_ago", Milliseconds(now - peer.heard_at)}};
+}
+
+json::object UpstreamRow(const EdgeState& edge, const dispatch::Upstream& upstream, TimePoint now) {
+  return {{"id", upstream.listing.id},
+          {"service", upstream.listing.service},
+          {"address", upstream.listing.address},
+          {"failure_domain", upstream.listing.failure_domain},
+          {"takes_new_work", dispatch::TakesNewWork(edge.upstreams, upstream)},
+          {"draining", upstream.listing.draining},
+          {"removal_held", upstream.removal_at.has_value()},
+          {"cold_left_ms", MillisecondsUntil(upstream.cold_until, now)},
+          {"avoided_ms", MillisecondsUntil(upstream.health.avoid_until, now)},
+          {"failure_rate", dispatch::FailureRate(upstream.health, now)},
+          {"slots", upstream.listing.slots},
+          {"running_here", upstream.running},
+          {"running", dispatch::EstimatedRunning(edge.upstreams, upstream, now)}};
+}
+
+}  // namespace
+
+std::string StatusPage(const EdgeState& edge) {
+  const TimePoint now = RuntimeClock::now();
+  json::array peers;
+  for (const auto& [address, peer] : edge.peers.peers) {
+    peers.emplace_back(PeerRow(edge, peer, now));
+  }
+  // Ordered by id, so that two pages can be compared.
+  std::map<std::string, json::object> upstreams;
+  for (const auto& [id, row] : edge.upstreams.rows) {
+    upstreams.emplace(id, UpstreamRow(edge, *row, now));
+  }
+  json::array listed;
+  for (auto& [id, row] : upstreams) {
+    listed.emplace_back(std::move(row));
+  }
+  return json::serialize(json::object{{"instance", edge.settings.instance},
+                                      {"failure_domain", edge.settings.failure_domain},
+                                      {"state", edge.stopping   ? "stopping"
+                                                : IsReady(edge) ? "ready"
+                                                                : "starting"},
+                                      {"config", edge.config ? edge.config->version : 0},
+                                      {"published_revision", edge.published.revision},
+                                      {"store_reachable", edge.feed_reachable},
+                                      {"reads_store", edge.reads_store},
+                                      {"domains_out", NamesOf(edge.upstreams.domains_out)},
+                                      {"domains_silent", NamesOf(edge.upstreams.domains_silent)},
+                                      {"requests_waiting", edge.runs.size()},
+                                      {"peers", std::move(peers)},
+                                      {"upstreams", std::move(listed)}});
+}
+
+std::string ExplainPage(const EdgeState& edge, std::string_view service) {
+  const std::vector<std::uint64_t> peer_hashes = dispatch::PeerHashes(edge.peers);
+  dispatch::SelectionQuestion question;
+  question.service = service;
+  question.own_domain = edge.settings.failure_domain;
+  question.own_hash = StableHash(edge.settings.address);
+  question.peer_hashes = peer_hashes;
+  question.instances = dispatch::AssumedInstances({.known = dispatch::KnownInstances(edge.peers)});
+  question.now = RuntimeClock::now();
+  if (edge.config) {
+    if (const auto rules = edge.config->services.find(std::string(service));
+        rules != edge.config->services.end()) {
+      question.is_engine = rules->second.is_engine;
+      question.cold_requests_per_second = rules->second.cold_requests_per_second;
+    }
+  }
+  const dispatch::Selection selection =
+      dispatch::SelectUpstream(edge.upstreams, edge.settings.selection, question);
+  json::array candidates;
+  for (const dispatch::Candidate& candidate : selection.candidates) {
+    candidates.emplace_back(json::object{{"upstream", candidate.row->listing.id},
+                                         {"failure_domain", candidate.row->listing.failure_domain},
+                                         {"cost_ms", std::lround(candidate.cost_ms)},
+                                         {"running", candidate.running}});
+  }
+  return json::serialize(json::object{{"instance", edge.settings.instance},
+                                      {"service", service},
+                                      {"failure", dispatch::ToString(selection.failure)},
+                                      {"candidates", std::move(candidates)}});
+}
+
+}  // namespace geraniumspread::edge::detail
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -295,6 +295,25 @@
   return answer;
 }
 
+std::string EdgeFixture::Ask(const std::string& target) {
+  transport::HttpConnectionPool pool(this->io.get_executor());
+  HttpRequest request("GET", target);
+  std::string body;
+  bool is_done = false;
+  const auto fetch = [&]() -> asio::awaitable<void> {
+    const auto answer =
+        co_await transport::Fetch(pool, this->settings.metrics_endpoint, std::move(request),
+                                  transport::ExchangeTimeouts{}, 1 << 20);
+    body = answer ? answer.value().body : answer.error().message;
+    is_done = true;
+  };
+  asio::co_spawn(this->io, fetch(), asio::detached);
+  this->io.restart();
+  while (!is_done && this->io.run_one() > 0) {
+  }
+  return body;
+}
+
 std::string EdgeFixture::CallRaw(const std::string& bytes) {
   std::string received;
   bool is_done = false;
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -60,6 +60,8 @@
   transport::Result<transport::HttpResponse> Call(const std::string& target,
                                                   transport::HttpHeaders headers = {},
                                                   std::string body = "order");
+  // Body of a page for operators.
+  std::string Ask(const std::string& target);
   // Sends bytes as they are and returns all that comes back until the connection
   // is quiet or closed.
   std::string CallRaw(const std::string& bytes);
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -1,5 +1,6 @@
 #include "edge/edge.h"
 
+#include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "edge/tests/edge_fixture.h"
@@ -7,6 +8,7 @@
 namespace geraniumspread::edge {
 namespace {
 
+namespace json = boost::json;
 using namespace std::chrono_literals;
 using test::EdgeFixture;
 using test::Events;
@@ -280,6 +282,24 @@
   BOOST_TEST(stopped);
 }
 
+// Guards against an instance whose beliefs can be learned only from its logs.
+BOOST_AUTO_TEST_CASE(AnInstanceTellsWhatItBelieves) {
+  EdgeFixture fixture;
+  fixture.AddUpstream({Sealed("whole")});
+  const auto page = [&](const std::string& target) {
+    return json::parse(fixture.Ask(target)).as_object();
+  };
+  const json::object status = page("/status");
+  BOOST_TEST(status.at("state").as_string() == "ready");
+  BOOST_TEST(status.at("config").to_number<std::uint64_t>() > 0U);
+  BOOST_TEST_REQUIRE(status.at("upstreams").as_array().size() == 1U);
+  BOOST_TEST(status.at("upstreams").at(0).at("takes_new_work").as_bool());
+  const json::object plan = page("/explain?service=app");
+  BOOST_TEST_REQUIRE(plan.at("candidates").as_array().size() == 1U);
+  BOOST_TEST(plan.at("candidates").at(0).at("upstream").as_string() == "u1");
+  BOOST_TEST(page("/explain?service=none").at("failure").as_string() == "no_upstream_listed");
+}
+
 // A configuration that is older than the one in force changes nothing.
 BOOST_AUTO_TEST_CASE(OlderStateOfTheStoreIsIgnored) {
   EdgeFixture fixture;
