--- a/src/admission/internal/workspace_limits.cc
+++ b/src/admission/internal/workspace_limits.cc
@@ -16,10 +16,11 @@
 constexpr std::size_t kMaxLoans = 4'096;
 constexpr Duration kMaxRateRetryAfter = std::chrono::seconds(30);
 constexpr int kRunTimeGain = 16;
-// A router that holds less of a rate fills its bucket while the others' are empty, and what
-// overflows is lost: with 4 routers of 1 request a second each, 12 in 100 requests within the limit
-// were refused (SmallLimitsAreUsedWholeByAllRouters).
+// Bounds the conversion to a whole number; no fleet has as many routers.
 constexpr float kMaxHolders = 1e6F;
+// Requests a second. A router that holds less of a rate fills its bucket while the others' are
+// empty, and what overflows is lost: with 4 for each holder 3 in 100 requests within the limit were
+// refused, with 1 up to 66, with 8 below 1 (SmallLimitsAreUsedWholeByAllRouters).
 constexpr float kRequestsPerHolder = 8.0F;
 
 float SecondsBetween(TimePoint from, TimePoint to) {
