--- a/apps/geranium_ctl/instances_command.cc
+++ b/apps/geranium_ctl/instances_command.cc
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include "geranium_ctl/http_get.h"
+#include "geranium_ctl/status_command.h"
 
 namespace geraniumspread::ctl {
 namespace {
@@ -95,20 +96,6 @@
   return ReadInstanceStatus(address, answer.body);
 }
 
-void RequireInstances(const CommandLine& line) {
-  if (line.arguments.size() > 1) {
-    throw CommandError{ExitCode::kUsage, "command instances takes at most one service; see --help"};
-  }
-  if (line.routers.empty()) {
-    throw CommandError{ExitCode::kUsage, "flag --routers is missing; see --help"};
-  }
-  for (const std::string& address : line.routers) {
-    if (!IsAuthority(address)) {
-      throw CommandError{ExitCode::kUsage, "\"" + address + "\" in --routers is not HOST:PORT"};
-    }
-  }
-}
-
 }  // namespace
 
 InstanceStatus ReadInstanceStatus(std::string_view address, std::string_view body) {
@@ -147,7 +134,10 @@
 }
 
 ExitCode ShowInstances(const CommandLine& line, std::ostream& out) {
-  RequireInstances(line);
+  if (line.arguments.size() > 1) {
+    throw CommandError{ExitCode::kUsage, "command instances takes at most one service; see --help"};
+  }
+  RequireRouters(line);
   const bool explains = !line.arguments.empty();
   const std::string target =
       explains ? "/explain?service=" + line.arguments.front() : std::string("/status");
--- a/apps/geranium_ctl/status_command.cc
+++ b/apps/geranium_ctl/status_command.cc
@@ -72,10 +72,9 @@
                                                                 : ExitCode::kSuccess;
 }
 
+}  // namespace
+
 void RequireRouters(const CommandLine& line) {
-  if (!line.arguments.empty()) {
-    throw CommandError{ExitCode::kUsage, "command status takes no argument; see --help"};
-  }
   if (line.routers.empty()) {
     throw CommandError{ExitCode::kUsage, "flag --routers is missing; see --help"};
   }
@@ -86,8 +85,6 @@
   }
 }
 
-}  // namespace
-
 RouterStatus ReadRouterStatus(std::string_view router, std::string_view body) {
   RouterStatus status;
   status.router = router;
@@ -130,6 +127,9 @@
 }
 
 ExitCode ShowStatus(const CommandLine& line, std::ostream& out) {
+  if (!line.arguments.empty()) {
+    throw CommandError{ExitCode::kUsage, "command status takes no argument; see --help"};
+  }
   RequireRouters(line);
   std::vector<RouterStatus> statuses;
   statuses.reserve(line.routers.size());
--- a/apps/geranium_ctl/status_command.h
+++ b/apps/geranium_ctl/status_command.h
@@ -26,6 +26,9 @@
 // One sentence for each pair of version and digest that differs from the highest.
 std::vector<std::string> FindDisagreement(const std::vector<RouterStatus>& statuses);
 
+// Throws CommandError unless --routers names at least one HOST:PORT and nothing else.
+void RequireRouters(const CommandLine& line);
+
 ExitCode ShowStatus(const CommandLine& line, std::ostream& out);
 
 }  // namespace geraniumspread::ctl
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -71,7 +71,7 @@
   const Upstream* home = nullptr;
   std::uint64_t best = 0;
   for (const Candidate& candidate : candidates) {
-    if (table.domains_silent.contains(candidate.row->listing.failure_domain)) {
+    if (IsBehindCut(table, *candidate.row)) {
       continue;
     }
     if (const std::uint64_t score = Score(subject, *candidate.row); score >= best) {
@@ -88,7 +88,7 @@
   double sum = 0;
   std::size_t known = 0;
   for (const UpstreamRow& row : table.by_service.at(std::string(question.service))) {
-    if (!table.domains_silent.contains(row->listing.failure_domain)) {
+    if (!IsBehindCut(table, *row)) {
       sum += EstimatedRunning(table, *row, question.now);
       ++known;
     }
@@ -147,7 +147,7 @@
       candidate.cost_ms +=
           settings.cross_domain_ms + kilobytes * settings.cross_domain_ms_per_kilobyte;
     }
-    if (table.domains_silent.contains(upstream.listing.failure_domain)) {
+    if (IsBehindCut(table, upstream)) {
       candidate.cost_ms += settings.silent_domain_ms;
     }
     candidate.cost_ms += (FailureRate(upstream.health, question.now) - usual_failures) * kFailureMs;
@@ -197,7 +197,7 @@
   for (const UpstreamRow& row : rows->second) {
     // A draining engine still hands over what it keeps.
     if (row.get() == &chosen || question.now < row->health.avoid_until ||
-        table.domains_silent.contains(row->listing.failure_domain)) {
+        IsBehindCut(table, *row)) {
       continue;
     }
     const std::uint32_t kept = shared - UncachedSharedTokens(row->memory, question.prompt);
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -110,6 +110,10 @@
   return now < upstream.cold_until;
 }
 
+bool IsBehindCut(const UpstreamTable& table, const Upstream& upstream) {
+  return table.domains_silent.contains(upstream.listing.failure_domain);
+}
+
 bool TakesNewWork(const UpstreamTable& table, const Upstream& upstream) {
   return upstream.listed && !upstream.listing.draining &&
          !table.domains_out.contains(upstream.listing.failure_domain);
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -100,6 +100,8 @@
 std::vector<std::string> ExpireRemovals(UpstreamTable& table, TimePoint now);
 
 bool IsCold(const Upstream& upstream, TimePoint now);
+// Whether its failure domain seems cut off from this instance.
+bool IsBehindCut(const UpstreamTable& table, const Upstream& upstream);
 // False while draining, removed, or in a failure domain that is out of service.
 bool TakesNewWork(const UpstreamTable& table, const Upstream& upstream);
 // Requests of all instances at the upstream, by the newest of report and peers.
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -30,10 +30,6 @@
 constexpr Duration kTrustedSilence = std::chrono::milliseconds(250);
 constexpr int kFirstFailureStatus = 500;
 
-void ObserveTime(const RequestRun& run, std::string_view name, Duration time) {
-  run.edge->metrics.ObserveSeconds(name, std::chrono::duration<double>(time).count());
-}
-
 transport::ExchangeTimeouts TimeoutsOf(const RequestRun& run) {
   const Duration remaining = Remaining(run);
   transport::ExchangeTimeouts timeouts;
@@ -101,7 +97,7 @@
     }
     const TimePoint now = RuntimeClock::now();
     if (run.stream_started) {
-      ObserveTime(run, "geranium_pause_seconds", now - heard_at);
+      run.edge->metrics.ObserveTime("geranium_pause_seconds", now - heard_at);
     }
     heard_at = now;
     run.active_upstream->heard_at = now;
@@ -112,7 +108,8 @@
     }
     if (!run.stream_started && (!events.empty() || at_end)) {
       run.stream_started = true;
-      ObserveTime(run, "geranium_first_byte_seconds", RuntimeClock::now() - run.started);
+      run.edge->metrics.ObserveTime("geranium_first_byte_seconds",
+                                    RuntimeClock::now() - run.started);
       transport::HttpHeaders headers = answer.caller_headers;
       if (!co_await responder.StartStream(head.status, std::move(headers))) {
         co_return "caller_gone";
@@ -201,8 +198,7 @@
 
 transport::ConnectionPolicy PolicyOf(const RequestRun& run, const dispatch::Upstream& upstream) {
   const bool is_heard = upstream.heard_at + kTrustedSilence >= RuntimeClock::now();
-  const bool is_silent_domain =
-      run.edge->upstreams.domains_silent.contains(upstream.listing.failure_domain);
+  const bool is_silent_domain = dispatch::IsBehindCut(run.edge->upstreams, upstream);
   const bool may_reuse =
       !is_silent_domain &&
       (is_heard || run.route.repeatability != dispatch::Repeatability::kNonRepeatable);
@@ -282,7 +278,7 @@
       run.edge->codec.encode_upstream_request(run.request, CallOf(run, chosen));
   auto head = co_await exchange.Start(std::move(request), PolicyOf(run, upstream));
   if (const auto connect_time = exchange.ConnectTime(); connect_time) {
-    ObserveTime(run, "geranium_connect_seconds", *connect_time);
+    run.edge->metrics.ObserveTime("geranium_connect_seconds", *connect_time);
   }
   if (!head) {
     run.active = nullptr;
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -28,10 +28,6 @@
 // Left between the last answer and the end of the grace period.
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 // The steady clock stands still while the machine is suspended; this one runs on.
 std::chrono::nanoseconds BootTime() {
   timespec now{};
@@ -273,9 +269,8 @@
 }
 
 void Edge::NoteFeedCall(Duration elapsed, bool answered) {
-  this->state->metrics.ObserveSeconds("geranium_feed_call_seconds",
-                                      std::chrono::duration<double>(elapsed).count(),
-                                      {{"result", answered ? "answered" : "failed"}});
+  this->state->metrics.ObserveTime("geranium_feed_call_seconds", elapsed,
+                                   {{"result", answered ? "answered" : "failed"}});
 }
 
 void Edge::OnFeedReachable(bool reachable) {
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -7,8 +7,10 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <unordered_set>
 
+#include "common/hash.h"
 #include "common/runtime_timer.h"
 #include "dispatch/peer_table.h"
 #include "dispatch/published_state.h"
@@ -77,6 +79,28 @@
 
 using Edge = std::shared_ptr<EdgeState>;
 
+// For log lines and pages.
+inline std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+// A question about a request of the service that has no prompt, as this instance asks it now.
+// `rules` and `peer_hashes` must outlive it.
+inline dispatch::SelectionQuestion MakeQuestion(const EdgeState& edge,
+                                                const dispatch::ServiceRules& rules,
+                                                std::span<const std::uint64_t> peer_hashes) {
+  dispatch::SelectionQuestion question;
+  question.service = rules.name;
+  question.is_engine = rules.is_engine;
+  question.cold_requests_per_second = rules.cold_requests_per_second;
+  question.own_domain = edge.settings.failure_domain;
+  question.own_hash = StableHash(edge.settings.address);
+  question.peer_hashes = peer_hashes;
+  question.instances = dispatch::AssumedInstances({.known = dispatch::KnownInstances(edge.peers)});
+  question.now = RuntimeClock::now();
+  return question;
+}
+
 inline bool IsReady(const EdgeState& edge) {
   return edge.config.has_value() && !edge.stopping;
 }
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -81,9 +81,7 @@
   auto response = co_await transport::Fetch(edge->connections, std::move(endpoint),
                                             std::move(request), timeouts, kMaxStateBytes);
   edge->pulling = false;
-  edge->metrics.ObserveSeconds(
-      "geranium_peer_pull_seconds",
-      std::chrono::duration<double>(RuntimeClock::now() - asked_at).count());
+  edge->metrics.ObserveTime("geranium_peer_pull_seconds", RuntimeClock::now() - asked_at);
   std::optional<StateTransfer> transfer;
   if (response && response.value().status == 200) {
     transfer = DecodeTransfer(response.value().body);
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -27,10 +27,6 @@
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTimeout = 504;
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 std::uint64_t ConfigVersion(const EdgeState& edge) {
   return edge.config ? edge.config->version : 0;
 }
@@ -85,18 +81,10 @@
 
 dispatch::Selection Select(const RequestRun& run, std::span<const std::uint64_t> peer_hashes) {
   EdgeState& edge = *run.edge;
-  dispatch::SelectionQuestion question;
-  question.service = run.service.name;
-  question.is_engine = run.service.is_engine;
+  dispatch::SelectionQuestion question = MakeQuestion(edge, run.service, peer_hashes);
   question.prompt = run.request.prompt;
   question.body_bytes = run.request.body.size();
-  question.own_domain = edge.settings.failure_domain;
-  question.own_hash = StableHash(edge.settings.address);
-  question.peer_hashes = peer_hashes;
-  question.instances = dispatch::AssumedInstances({.known = dispatch::KnownInstances(edge.peers)});
-  question.cold_requests_per_second = run.service.cold_requests_per_second;
   question.tried = run.tried;
-  question.now = RuntimeClock::now();
   dispatch::Selection selection =
       dispatch::SelectUpstream(edge.upstreams, edge.settings.selection, question);
   if (!selection.candidates.empty()) {
@@ -322,9 +310,7 @@
   });
   co_await RunAttempts(*run, responder);
   run->expiry.cancel();
-  run->edge->metrics.ObserveSeconds(
-      "geranium_request_seconds",
-      std::chrono::duration<double>(RuntimeClock::now() - started).count());
+  run->edge->metrics.ObserveTime("geranium_request_seconds", RuntimeClock::now() - started);
 }
 
 }  // namespace geraniumspread::edge::detail
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <cmath>
 
-#include "common/hash.h"
 #include "dispatch/selection.h"
 
 namespace geraniumspread::edge::detail {
@@ -15,10 +14,6 @@
 
 namespace json = boost::json;
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 // 0 when the time has passed.
 std::int64_t MillisecondsUntil(TimePoint time, TimePoint now) {
   return Milliseconds(std::max(Duration{0}, time - now));
@@ -94,20 +89,14 @@
 
 std::string ExplainPage(const EdgeState& edge, std::string_view service) {
   const std::vector<std::uint64_t> peer_hashes = dispatch::PeerHashes(edge.peers);
-  dispatch::SelectionQuestion question;
-  question.service = service;
-  question.own_domain = edge.settings.failure_domain;
-  question.own_hash = StableHash(edge.settings.address);
-  question.peer_hashes = peer_hashes;
-  question.instances = dispatch::AssumedInstances({.known = dispatch::KnownInstances(edge.peers)});
-  question.now = RuntimeClock::now();
+  dispatch::ServiceRules rules{.name = std::string(service)};
   if (edge.config) {
-    if (const auto rules = edge.config->services.find(std::string(service));
-        rules != edge.config->services.end()) {
-      question.is_engine = rules->second.is_engine;
-      question.cold_requests_per_second = rules->second.cold_requests_per_second;
+    if (const auto found = edge.config->services.find(rules.name);
+        found != edge.config->services.end()) {
+      rules = found->second;
     }
   }
+  const dispatch::SelectionQuestion question = MakeQuestion(edge, rules, peer_hashes);
   const dispatch::Selection selection =
       dispatch::SelectUpstream(edge.upstreams, edge.settings.selection, question);
   json::array candidates;
--- a/src/observability/internal/metrics.cc
+++ b/src/observability/internal/metrics.cc
@@ -67,12 +67,13 @@
   family.Add(detail::CopyLabels(labels)).Set(value);
 }
 
-void Metrics::ObserveSeconds(std::string_view name, double seconds, MetricLabels labels) {
+void Metrics::ObserveTime(std::string_view name, Duration time, MetricLabels labels) {
   auto& family =
       detail::FindFamily(this->state->histograms, name, [this](const std::string& full) -> auto& {
         return prometheus::BuildHistogram().Name(full).Register(this->state->registry);
       });
-  family.Add(detail::CopyLabels(labels), detail::SecondsBuckets()).Observe(seconds);
+  family.Add(detail::CopyLabels(labels), detail::SecondsBuckets())
+      .Observe(std::chrono::duration<double>(time).count());
 }
 
 std::string Metrics::Render() const {
--- a/src/observability/metrics.h
+++ b/src/observability/metrics.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <utility>
 
+#include "common/runtime_clock.h"
+
 // Metrics of one process, on prometheus-cpp. Names carry their unit
 // (_total, _seconds, _bytes) and the prefix geranium_.
 namespace geraniumspread::observability {
@@ -28,8 +30,8 @@
   // Adds to a counter, which is created at first use.
   void Count(std::string_view name, MetricLabels labels = {}, double amount = 1);
   void SetGauge(std::string_view name, double value, MetricLabels labels = {});
-  // Adds one value to a histogram of seconds with buckets from 1 ms to 120 s.
-  void ObserveSeconds(std::string_view name, double seconds, MetricLabels labels = {});
+  // Adds one time to a histogram of seconds with buckets from 1 ms to 120 s.
+  void ObserveTime(std::string_view name, Duration time, MetricLabels labels = {});
   // Text exposition format, as /metrics serves it.
   std::string Render() const;
 
--- a/src/observability/tests/observability_test.cc
+++ b/src/observability/tests/observability_test.cc
@@ -175,7 +175,7 @@
   metrics.Count("geranium_requests_total", {{"code", "200"}});
   metrics.Count("geranium_requests_total", {{"code", "200"}}, 2);
   metrics.SetGauge("geranium_config_version", 7);
-  metrics.ObserveSeconds("geranium_first_token_seconds", 0.02);
+  metrics.ObserveTime("geranium_first_token_seconds", std::chrono::milliseconds(20));
   const std::string text = metrics.Render();
   BOOST_TEST(text.find("geranium_requests_total{code=\"200\"} 3") != std::string::npos);
   BOOST_TEST(text.find("geranium_config_version 7") != std::string::npos);
