Bound bytes without end, and count only events as progress

Cause: a stream's bytes that end no event were kept without a limit, and each byte started the pause of a stream anew, so an upstream that sent one now and then was never left. An answer of the store or of a peer had a limit for each pause between bytes and none for the whole. Ruled out by the new tests: heads (32 KiB), plain bodies (4 MiB), foreign answers before the own one (the time of the first byte) were bounded before. Tests: EndlessBytesEndInOneFailure, AnEndlessEventBreaksTheStreamOff, AStreamThatOnlyDripsIsLeft, BytesThatEndNoEventAreNotKept, AnAnswerThatOnlyDripsEndsAtTheWholeLimit.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -89,6 +89,7 @@
   EventSplitter splitter;
   splitter.last_id = run.last_event_id;
   splitter.skip_through = run.last_event_id;
+  const Duration longest_pause = TimeoutsOf(run).between_bytes;
   TimePoint heard_at = RuntimeClock::now();
   while (true) {
     auto bytes = co_await exchange.ReadSome();
@@ -96,13 +97,23 @@
       co_return std::string(transport::ToString(bytes.error().code));
     }
     const TimePoint now = RuntimeClock::now();
+    run.active_upstream->heard_at = now;
+    const bool at_end = bytes.value().empty();
+    const std::string events = TakeEvents(splitter, bytes.value());
+    if (splitter.too_large) {
+      co_return "event_too_large";
+    }
+    if (events.empty() && !at_end) {
+      // Only events are progress: a stalled upstream may send a byte now and then.
+      if (now - heard_at > longest_pause) {
+        co_return "no_event_in_time";
+      }
+      continue;
+    }
     if (run.stream_started) {
       run.edge->metrics.ObserveTime("geranium_pause_seconds", now - heard_at);
     }
     heard_at = now;
-    run.active_upstream->heard_at = now;
-    const bool at_end = bytes.value().empty();
-    const std::string events = TakeEvents(splitter, bytes.value());
     if (!events.empty()) {
       running.NotePromptRead();
     }
--- a/src/edge/internal/event_splitter.cc
+++ b/src/edge/internal/event_splitter.cc
@@ -7,6 +7,8 @@
 
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdField = "id:";
+// An event holds some tokens of text; a thousand times that is no event.
+constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
 
 std::optional<std::uint64_t> EventId(std::string_view event) {
   while (!event.empty()) {
@@ -53,6 +55,10 @@
     events.append(event);
   }
   splitter.pending.erase(0, start);
+  if (splitter.pending.size() > kMaxEventBytes) {
+    splitter.too_large = true;
+    splitter.pending.clear();
+  }
   return events;
 }
 
--- a/src/edge/internal/event_splitter.h
+++ b/src/edge/internal/event_splitter.h
@@ -18,9 +18,12 @@
   std::optional<std::uint64_t> skip_through;
   // An event's id is not above the one before, or ids are left out.
   bool out_of_order = false;
+  // Bytes came that end no event; the rest was dropped.
+  bool too_large = false;
 };
 
-// Appends bytes and returns the whole events among them that are new.
+// Appends bytes, of which an event may have 256 KiB, and returns the whole events among them that
+// are new.
 std::string TakeEvents(EventSplitter& splitter, std::string_view bytes);
 
 }  // namespace geraniumspread::edge::detail
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -88,7 +88,7 @@
   route.repeatability = repeatability;
   route.is_stream = prefix.starts_with("/stream") || prefix.starts_with("/resume");
   route.is_public = prefix == "/open/";
-  route.timeout = std::chrono::seconds(2);
+  route.timeout = std::chrono::seconds(prefix == "/resume/" ? 8 : 2);
   route.latency_goal = std::chrono::milliseconds(100);
   route.pause_goal = std::chrono::milliseconds(100);
   // More than an order may use, so that only its outcome forbids another attempt.
@@ -231,6 +231,13 @@
     }
     const std::string bytes = WithId(reply.bytes, this->requests.back());
     co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
+    asio::steady_timer pause(socket.get_executor());
+    while (!reply.endless.empty() && !error) {
+      std::tie(error, count) =
+          co_await asio::async_write(socket, asio::buffer(reply.endless), kAwait);
+      pause.expires_after(reply.pause);
+      co_await pause.async_wait(kAwait);
+    }
     if (reply.then == Reply::Then::kReset) {
       socket.set_option(tcp::socket::linger(true, 0));
     }
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -22,6 +22,9 @@
   Then then = Then::kKeep;
   // Without bytes, nothing is answered until the caller closes.
   bool is_silent = false;
+  // Sent after `bytes` again and again, with this pause, until the caller closes.
+  std::string endless;
+  std::chrono::milliseconds pause{0};
 };
 
 Reply Sealed(const std::string& body, int status = 200);
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -96,6 +96,71 @@
 }
 
 // An answer without a length ends with its connection.
+// Pattern: bytes that are no answer come without end, in the head or the body,
+// until the caller closes. The request fails once, the connection is gone, and
+// the next request is served.
+BOOST_AUTO_TEST_CASE(EndlessBytesEndInOneFailure) {
+  const std::string sealed = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\n";
+  const std::string fill(8192, 'x');
+  struct Case {
+    std::string target;
+    Reply reply;
+  };
+  const std::vector<Case> cases{
+      {"/order/1", {"HTTP/1.1 200 OK\r\n", Reply::Then::kClose, false, "X-Fill: y\r\n"}},
+      {"/order/1", {"HTTP/1.1 200 OK\r\nX-Fill: ", Reply::Then::kClose, false, fill}},
+      {"/order/1", {fill, Reply::Then::kClose, false, fill}},
+      {"/order/1", {sealed + "\r\n", Reply::Then::kClose, false, fill}},
+      {"/order/1",
+       {sealed + "Transfer-Encoding: chunked\r\n\r\n", Reply::Then::kClose, false,
+        "4\r\nabcd\r\n"}},
+      {"/order/1",
+       {"HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+        Reply::Then::kClose, false, "4\r\nabcd\r\n"}}};
+  for (const Case& endless : cases) {
+    EdgeFixture fixture;
+    RawUpstream& upstream = fixture.AddUpstream({endless.reply, Sealed("good")});
+    const int status = fixture.Call(endless.target).value().status;
+    BOOST_TEST((status == 502 || status == 504), endless.reply.bytes << " " << status);
+    fixture.RunFor(std::chrono::milliseconds(50));
+    BOOST_TEST(fixture.Call("/order/2").value().body == "good");
+    BOOST_TEST(upstream.requests.size() == 2U);
+  }
+}
+
+// Pattern: the same within a stream: bytes that end no event, at full speed.
+BOOST_AUTO_TEST_CASE(AnEndlessEventBreaksTheStreamOff) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "2000\r\n" + std::string(0x2000, 'x') + "\r\n";
+  EdgeFixture fixture;
+  fixture.AddUpstream({{head, Reply::Then::kClose, false, chunk}, Events(0, 3)});
+  BOOST_TEST(fixture.Call("/stream/1").value().status == 502);
+  BOOST_TEST(fixture.Call("/stream/2").value().status == 200);
+}
+
+// Pattern: a stalled upstream sends a byte now and then. Bytes that end no event
+// are no progress; a stream that may be resumed goes on elsewhere.
+BOOST_AUTO_TEST_CASE(AStreamThatOnlyDripsIsLeft) {
+  EdgeFixture fixture;
+  Reply drips = Events(0, 1, false);
+  drips.then = Reply::Then::kClose;
+  drips.endless = "1\r\nx\r\n";
+  drips.pause = std::chrono::milliseconds(100);
+  fixture.AddUpstream({drips});
+  fixture.AddUpstream({Events(2, 4)});
+  std::string body;
+  // Either upstream may come first; from the second one alone the stream has a gap.
+  for (int call = 0; call < 6 && body.find("data: e4") == std::string::npos; ++call) {
+    if (const auto answer = fixture.Call("/resume/1"); answer) {
+      body = answer.value().body;
+    }
+  }
+  BOOST_TEST(body.find("data: e0") != std::string::npos);
+  BOOST_TEST(body.find("data: e4") != std::string::npos);
+  BOOST_TEST(body.find('x') == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(AnUnframedAnswerIsWholeWhenTheConnectionIsClosed) {
   const std::string bytes = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\n\r\nwhole";
   EdgeFixture fixture;
--- a/src/edge/tests/event_splitter_test.cc
+++ b/src/edge/tests/event_splitter_test.cc
@@ -28,6 +28,17 @@
   BOOST_TEST(TakeEvents(splitter, kStream) == "id: 2\ndata: c\n\n");
 }
 
+// Guards against a stream of bytes without end that never end an event.
+BOOST_AUTO_TEST_CASE(BytesThatEndNoEventAreNotKept) {
+  EventSplitter splitter;
+  const std::string piece(10'000, 'x');
+  for (int index = 0; index < 1000 && !splitter.too_large; ++index) {
+    BOOST_TEST(TakeEvents(splitter, piece).empty());
+    BOOST_TEST_REQUIRE(splitter.pending.size() < 300'000U);
+  }
+  BOOST_TEST(splitter.too_large);
+}
+
 // Guards against a stream that misses a piece or has one twice.
 BOOST_AUTO_TEST_CASE(GapsAndRepetitionsAreFound) {
   for (const char* second : {"id: 2\ndata: c\n\n", "id: 0\ndata: a\n\n"}) {
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -103,13 +103,15 @@
         endpoint(std::move(peer)),
         timeouts(phase_timeouts),
         socket(pool->executor),
-        deadline(pool->executor, socket) {}
+        deadline(pool->executor, socket),
+        whole_deadline(pool->executor, socket) {}
 
   std::shared_ptr<PoolState> pool;
   Endpoint endpoint;
   ExchangeTimeouts timeouts;
   Tcp::socket socket;
   Deadline deadline;
+  Deadline whole_deadline;
   boost::beast::flat_buffer buffer;
   std::unique_ptr<http::response_parser<http::buffer_body>> parser;
   ExchangePhase phase = ExchangePhase::kNotStarted;
@@ -126,10 +128,15 @@
     this->socket.close(ignored);
   }
 
+  void DisarmDeadlines() {
+    this->deadline.Disarm();
+    this->whole_deadline.Disarm();
+  }
+
   TransportError Failure(const error_code& error) {
     const ExchangePhase failed_phase = this->phase;
-    const bool expired = this->deadline.Expired();
-    this->deadline.Disarm();
+    const bool expired = this->deadline.Expired() || this->whole_deadline.Expired();
+    this->DisarmDeadlines();
     this->Close();
     TransportErrorCode code = TransportErrorCode::kConnectionClosed;
     if (this->cancelled) {
@@ -152,7 +159,7 @@
   // Keeps the connection for another exchange when nothing is left on it.
   void Release() {
     this->phase = ExchangePhase::kComplete;
-    this->deadline.Disarm();
+    this->DisarmDeadlines();
     if (this->parser->get().keep_alive() && this->request_written && this->buffer.size() == 0 &&
         this->socket.is_open()) {
       this->pool->Put(this->endpoint, std::move(this->socket),
@@ -184,7 +191,8 @@
     std::tie(error) = co_await connection->socket.async_connect(
         Tcp::endpoint(address, connection->endpoint.port), kAwaitTuple);
   }
-  if (error || connection->cancelled || connection->deadline.Expired()) {
+  if (error || connection->cancelled || connection->deadline.Expired() ||
+      connection->whole_deadline.Expired()) {
     co_return connection->Failure(error);
   }
   connection->deadline.Disarm();
@@ -292,7 +300,7 @@
 void HttpExchange::Cancel() {
   if (this->connection->phase != ExchangePhase::kComplete) {
     this->connection->cancelled = true;
-    this->connection->deadline.Disarm();
+    this->connection->DisarmDeadlines();
     this->connection->Close();
   }
 }
@@ -318,6 +326,9 @@
   // The coroutine keeps the connection, since Cancel may come from the destructor.
   const std::shared_ptr<detail::Connection> current = this->connection;
   current->is_head = request.method == "HEAD";
+  if (current->timeouts.whole > Duration{0}) {
+    current->whole_deadline.Arm(current->timeouts.whole);
+  }
   if (auto failure = co_await detail::Connect(current, policy); failure) {
     co_return std::move(*failure);
   }
--- a/src/transport/tests/http_test.cc
+++ b/src/transport/tests/http_test.cc
@@ -1,6 +1,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -59,6 +60,37 @@
   }
 }
 
+// Answers with a head and then one byte after the other, without end.
+asio::awaitable<void> ServeDrips(asio::ip::tcp::acceptor& acceptor) {
+  auto [error, socket] = co_await acceptor.async_accept(detail::kAwaitTuple);
+  std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n";
+  asio::steady_timer pause(acceptor.get_executor());
+  while (!error) {
+    std::size_t count = 0;
+    std::tie(error, count) =
+        co_await asio::async_write(socket, asio::buffer(bytes), detail::kAwaitTuple);
+    bytes = "x";
+    pause.expires_after(std::chrono::milliseconds(20));
+    co_await pause.async_wait(detail::kAwaitTuple);
+  }
+}
+
+// Guards against a store or a peer that holds its caller by a byte now and then.
+BOOST_FIXTURE_TEST_CASE(AnAnswerThatOnlyDripsEndsAtTheWholeLimit, Fixture) {
+  asio::ip::tcp::acceptor acceptor(this->io, {asio::ip::make_address("127.0.0.1"), 0});
+  this->endpoint.port = acceptor.local_endpoint().port();
+  asio::co_spawn(this->io, ServeDrips(acceptor), asio::detached);
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    ExchangeTimeouts timeouts;
+    timeouts.whole = std::chrono::milliseconds(300);
+    const auto response =
+        co_await Fetch(fixture.pool, fixture.endpoint, HttpRequest("GET", "/"), timeouts, kMaxBody);
+    BOOST_REQUIRE(!response.has_value());
+    BOOST_CHECK(response.error().code == TransportErrorCode::kTimedOut);
+    BOOST_TEST(fixture.pool.IdleConnections() == 0U);
+  }(*this));
+}
+
 // Guards against answers that reach the wrong exchange or lose bytes on a reused connection.
 BOOST_FIXTURE_TEST_CASE(ReusesConnectionAndMatchesAnswers, Fixture) {
   this->Serve(Echo);
--- a/src/transport/transport_types.h
+++ b/src/transport/transport_types.h
@@ -127,6 +127,9 @@
   Duration write = std::chrono::seconds(5);
   Duration first_byte = std::chrono::seconds(30);
   Duration between_bytes = std::chrono::seconds(10);
+  // Bounds the exchange as a whole: bytes may come without end, each in time. Zero
+  // where the caller ends the exchange itself.
+  Duration whole{0};
 };
 
 }  // namespace geraniumspread::transport
