Give a peer the newest value of a key, not each one between

The copies of changes now name keys; values come from the state. Test: AKeyThatChangedOftenIsGivenOnce.

--- a/src/dispatch/internal/published_state.cc
+++ b/src/dispatch/internal/published_state.cc
@@ -7,11 +7,11 @@
 namespace geraniumspread::dispatch {
 namespace {
 
-// A few seconds of changes in a storm of configurations, each up to a megabyte.
+// A few seconds of changes in a storm; who lacks more copies the whole state.
 constexpr std::size_t kMaxRecent = 64;
 
 void KeepRecent(PublishedState& state, const PublishedItem& item) {
-  state.recent.push_back(item);
+  state.recent.push_back({item.key, item.revision, item.removed});
   while (state.recent.size() > kMaxRecent) {
     state.recent_after = state.recent.front().revision;
     state.recent.pop_front();
@@ -86,8 +86,17 @@
     return std::nullopt;
   }
   std::vector<PublishedItem> changes;
-  std::ranges::copy_if(state.recent, std::back_inserter(changes),
-                       [revision](const PublishedItem& item) { return item.revision > revision; });
+  for (const PublishedState::RecentChange& change : state.recent) {
+    if (change.revision <= revision) {
+      continue;
+    }
+    const auto item = state.items.find(change.key);
+    if (change.removed && item == state.items.end()) {
+      changes.push_back({change.key, {}, change.revision, true});
+    } else if (item != state.items.end() && item->second.revision == change.revision) {
+      changes.push_back(item->second);
+    }
+  }
   return changes;
 }
 
--- a/src/dispatch/published_state.h
+++ b/src/dispatch/published_state.h
@@ -23,8 +23,14 @@
   // All changes up to this revision are applied; 0 before the first read.
   std::uint64_t revision = 0;
   std::map<std::string, PublishedItem> items;
-  // The newest changes in order, for peers that lack only these.
-  std::deque<PublishedItem> recent;
+  // The newest changes in order, for peers that lack only these. Values are in
+  // `items`.
+  struct RecentChange {
+    std::string key;
+    std::uint64_t revision = 0;
+    bool removed = false;
+  };
+  std::deque<RecentChange> recent;
   // Changes after this revision are in `recent`.
   std::uint64_t recent_after = 0;
 };
@@ -39,7 +45,8 @@
 std::vector<PublishedItem> ReplaceState(PublishedState& state,
                                         std::vector<PublishedItem> items,
                                         std::uint64_t revision);
-// Changes after `revision`, or nothing when they are no longer kept.
+// Changes after `revision`, or nothing when they are no longer kept. A key that
+// changed several times comes once, as it is now.
 std::optional<std::vector<PublishedItem>> ChangesSince(const PublishedState& state,
                                                        std::uint64_t revision);
 
--- a/src/dispatch/tests/published_state_test.cc
+++ b/src/dispatch/tests/published_state_test.cc
@@ -45,6 +45,29 @@
   BOOST_TEST(!ChangesSince(state, 4).has_value());
 }
 
+// Pattern: a storm of configurations. A peer that lacks all of them gets the last
+// one, not each.
+BOOST_AUTO_TEST_CASE(AKeyThatChangedOftenIsGivenOnce) {
+  PublishedState state;
+  ReplaceState(state, {{"config", "v0", 1}, {"b", "1", 1}}, 5);
+  for (std::uint64_t revision = 6; revision < 53; ++revision) {
+    ApplyChanges(state, {{"config", "v" + std::to_string(revision), revision}}, revision);
+  }
+  ApplyChanges(state, {{"b", {}, 53, true}}, 53);
+  ApplyChanges(state, {{"b", "2", 54}}, 54);
+  const std::vector<PublishedItem> changes =
+      ChangesSince(state, 5).value_or(std::vector<PublishedItem>{});
+  BOOST_TEST_REQUIRE(changes.size() == 2U);
+  BOOST_TEST(changes.front().value == "v52");
+  BOOST_TEST(changes.back().value == "2");
+  // A copy that takes them is the same.
+  PublishedState copy;
+  ReplaceState(copy, {{"config", "v0", 1}, {"b", "1", 1}}, 5);
+  ApplyChanges(copy, changes, state.revision);
+  BOOST_TEST(copy.items.at("config").value == "v52");
+  BOOST_TEST(copy.items.at("b").value == "2");
+}
+
 // Guards against unbounded memory in a storm of changes.
 BOOST_AUTO_TEST_CASE(OnlyTheNewestChangesAreKept) {
   PublishedState state;
