--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -2,6 +2,9 @@
 # so that modules name only what they use.
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED)
+find_package(ZLIB REQUIRED)
+# CBOR of the digests between instances.
+find_package(nlohmann_json REQUIRED)
 find_package(Boost 1.81 REQUIRED COMPONENTS json)
 find_package(prometheus-cpp CONFIG REQUIRED)
 find_package(PkgConfig REQUIRED)
--- /dev/null
+++ b/src/dispatch/internal/freshness.cc
@@ -0,0 +1,57 @@
+#include "dispatch/freshness.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace geraniumspread::dispatch {
+namespace {
+
+// Time on the way and in the receiver's queue that a peer's word may have taken.
+constexpr Duration kTransitMargin = std::chrono::milliseconds(50);
+// A socket's queue holds less than this time of digests.
+constexpr Duration kQueueTime = std::chrono::milliseconds(500);
+
+Duration Share(const FreshnessSettings& settings, double share) {
+  return std::chrono::duration_cast<Duration>(settings.bound * share);
+}
+
+}  // namespace
+
+void Confirm(Freshness& freshness, TimePoint as_of) {
+  freshness.confirmed_at = std::max(freshness.confirmed_at.value_or(as_of), as_of);
+}
+
+void ConfirmByPeer(Freshness& freshness, Duration age, TimePoint now) {
+  if (now >= freshness.distrust_until && age >= Duration{0}) {
+    Confirm(freshness, now - age - kTransitMargin);
+  }
+}
+
+void NoteStandstill(Freshness& freshness, TimePoint now) {
+  freshness.confirmed_at.reset();
+  freshness.distrust_until = now + kQueueTime;
+}
+
+std::optional<Duration> ConfirmationAge(const Freshness& freshness, TimePoint now) {
+  if (!freshness.confirmed_at) {
+    return std::nullopt;
+  }
+  return std::max(Duration{0}, now - *freshness.confirmed_at);
+}
+
+bool MustAsk(const Freshness& freshness, std::size_t place, TimePoint now) {
+  const FreshnessSettings& settings = freshness.settings;
+  const auto age = ConfirmationAge(freshness, now);
+  const Duration wait = Share(settings, settings.step_share) * std::bit_width(place);
+  return !age || *age > Share(settings, settings.ask_share) + wait;
+}
+
+Duration WatchTime(const FreshnessSettings& settings) {
+  return Share(settings, settings.watch_share);
+}
+
+Duration AnswerTime(const FreshnessSettings& settings) {
+  return Share(settings, settings.answer_share);
+}
+
+}  // namespace geraniumspread::dispatch
--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -42,15 +42,17 @@
   return peer.counts_load ? PeerChange::kNone : PeerChange::kReturned;
 }
 
-std::size_t CountPeers(const PeerTable& peers, bool near) {
-  return static_cast<std::size_t>(std::ranges::count_if(peers.peers, [&](const auto& entry) {
-    return (entry.second.digest.failure_domain == peers.self_domain) == near;
-  }));
+void CountPeers(PeerTable& peers) {
+  peers.near_peers =
+      static_cast<std::size_t>(std::ranges::count_if(peers.peers, [&](const auto& entry) {
+        return entry.second.digest.failure_domain == peers.self_domain;
+      }));
+  peers.far_peers = peers.peers.size() - peers.near_peers;
 }
 
 // How many digests a peer sends between two that come here.
 double IntervalsBetween(const PeerTable& peers, bool near, std::size_t targets) {
-  return std::max(1.0, static_cast<double>(CountPeers(peers, near)) /
+  return std::max(1.0, static_cast<double>(near ? peers.near_peers : peers.far_peers) /
                            static_cast<double>(std::max<std::size_t>(targets, 1)));
 }
 
@@ -61,6 +63,12 @@
 
 }  // namespace
 
+bool IsNewDigest(const PeerTable& peers, const PeerDigest& digest) {
+  const auto known = peers.peers.find(digest.address);
+  return known == peers.peers.end() || known->second.digest.incarnation != digest.incarnation ||
+         digest.sequence > known->second.digest.sequence;
+}
+
 PeerChange ApplyDigest(PeerTable& peers,
                        UpstreamTable& upstreams,
                        const PeerDigest& digest,
@@ -68,15 +76,21 @@
   if (digest.address == peers.self_address || digest.address.empty()) {
     return PeerChange::kNone;
   }
-  Peer& peer = peers.peers[digest.address];
-  if (peer.digest.incarnation == digest.incarnation && digest.sequence <= peer.digest.sequence) {
+  if (!IsNewDigest(peers, digest)) {
     return PeerChange::kNone;
   }
+  Peer& peer = peers.peers[digest.address];
   const PeerChange change = ChangeOf(peer, digest);
   if (peer.counts_load) {
     SubtractLoads(upstreams, peer);
   }
+  const bool is_counted =
+      peer.digest.incarnation != 0 && peer.digest.failure_domain == digest.failure_domain;
   peer.digest = digest;
+  if (!is_counted) {
+    peer.address_hash = StableHash(digest.address);
+    CountPeers(peers);
+  }
   peer.heard_at = now;
   peer.counts_load = true;
   AddLoads(upstreams, peer);
@@ -101,6 +115,7 @@
   std::erase_if(peers.peers, [&](const auto& entry) {
     return entry.second.heard_at + peers.settings.memory < now;
   });
+  CountPeers(peers);
   std::erase_if(peers.named,
                 [now](const auto& entry) { return entry.second + kNamedLifetime < now; });
   return silent;
@@ -193,24 +208,34 @@
   std::vector<std::uint64_t> hashes;
   hashes.reserve(peers.peers.size());
   for (const auto& [address, peer] : peers.peers) {
-    hashes.push_back(StableHash(address));
+    hashes.push_back(peer.address_hash);
   }
   return hashes;
 }
 
-const Peer* PeerAhead(const PeerTable& peers, std::uint64_t revision, TimePoint now) {
-  const Peer* best = nullptr;
+const Peer* PeerAhead(const PeerTable& peers,
+                      std::uint64_t revision,
+                      std::mt19937_64& random,
+                      TimePoint now) {
+  std::vector<const Peer*> best;
   const auto rank = [&](const Peer& peer) {
     return std::pair(peer.digest.failure_domain == peers.self_domain,
                      peer.digest.published_revision);
   };
   for (const auto& [address, peer] : peers.peers) {
     if (IsLive(peers, peer, now) && !peer.digest.leaving &&
-        peer.digest.published_revision > revision && (!best || rank(peer) > rank(*best))) {
-      best = &peer;
+        peer.digest.published_revision > revision &&
+        (best.empty() || rank(peer) >= rank(*best.front()))) {
+      if (!best.empty() && rank(peer) > rank(*best.front())) {
+        best.clear();
+      }
+      best.push_back(&peer);
     }
   }
-  return best;
+  if (best.empty()) {
+    return nullptr;
+  }
+  return best[std::uniform_int_distribution<std::size_t>(0, best.size() - 1)(random)];
 }
 
 bool HasLiveReader(const PeerTable& peers, TimePoint now) {
@@ -225,11 +250,20 @@
     const auto& [address, peer] = entry;
     return peer.digest.failure_domain == peers.self_domain && peer.digest.reads_store &&
            !peer.digest.leaving && peer.heard_at + peers.settings.reader_lifetime >= now &&
-           StableHash(address) < own;
+           peer.address_hash < own;
   });
   return static_cast<std::size_t>(earlier_readers) < peers.settings.store_readers;
 }
 
+std::size_t PlaceInDomain(const PeerTable& peers, TimePoint now) {
+  const std::uint64_t own = StableHash(peers.self_address);
+  return static_cast<std::size_t>(std::ranges::count_if(peers.peers, [&](const auto& entry) {
+    const auto& [address, peer] = entry;
+    return peer.digest.failure_domain == peers.self_domain && !peer.digest.leaving &&
+           IsLive(peers, peer, now) && peer.address_hash < own;
+  }));
+}
+
 std::vector<UpstreamLoad> OwnLoads(const UpstreamTable& upstreams) {
   std::vector<UpstreamLoad> loads;
   for (const auto& [id, row] : upstreams.rows) {
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -31,6 +32,8 @@
   bool leaving = false;
   // Revision of the published state that the sender has.
   std::uint64_t published_revision = 0;
+  // Age of the sender's confirmation that this revision was the store's newest.
+  std::optional<Duration> confirmation_age;
   // The sender follows the platform's store itself and reached it lately.
   bool reads_store = false;
   std::vector<UpstreamLoad> loads;
@@ -54,22 +57,21 @@
   // behind a cut.
   Duration memory = std::chrono::seconds(60);
   // A peer of the own failure domain gets each digest, up to this many.
-  std::size_t domain_targets = 8;
+  std::size_t domain_targets = 6;
   // Other peers that get one digest.
   std::size_t remote_targets = 4;
   std::size_t shared_addresses = 6;
   // Instances of a failure domain that follow the store; the others copy from
   // them. Each call to the store has its price, and its rate is shared.
-  std::size_t store_readers = 2;
+  std::size_t store_readers = 1;
   // A reader that was not heard for this long does not count.
   Duration reader_lifetime = std::chrono::milliseconds(700);
-  // An instance that lacks changes for this long although a peer has them reads
-  // the store itself.
-  Duration max_behind = std::chrono::milliseconds(600);
 };
 
 struct Peer {
   PeerDigest digest;
+  // StableHash of the address: its place in the orders of instances.
+  std::uint64_t address_hash = 0;
   TimePoint heard_at;
   bool counts_load = false;
 };
@@ -80,12 +82,17 @@
   std::string self_domain;
   // By address: a process of another name may take over a machine.
   std::map<std::string, Peer> peers;
+  // How many of them are in the own failure domain, and in others.
+  std::size_t near_peers = 0;
+  std::size_t far_peers = 0;
   // Addresses that were named but not heard yet, and when.
   std::map<std::string, TimePoint> named;
 };
 
 enum class PeerChange : std::uint8_t { kNone, kJoined, kRestarted, kReturned, kLeaving };
 
+// Whether the digest is newer than all that came from its process.
+bool IsNewDigest(const PeerTable& peers, const PeerDigest& digest);
 // Takes a digest in. Older digests of the same process change nothing.
 PeerChange ApplyDigest(PeerTable& peers,
                        UpstreamTable& upstreams,
@@ -112,14 +119,21 @@
 // This instance and all remembered peers.
 std::size_t KnownInstances(const PeerTable& peers);
 std::vector<std::uint64_t> PeerHashes(const PeerTable& peers);
-// The live peer that is furthest ahead of `revision`, those of the own failure
-// domain first; null when none is.
-const Peer* PeerAhead(const PeerTable& peers, std::uint64_t revision, TimePoint now);
+// One of the live peers that are furthest ahead of `revision`, those of the own
+// failure domain first; null when none is. Taken at random, so that the peers of
+// a new revision share the transfers.
+const Peer* PeerAhead(const PeerTable& peers,
+                      std::uint64_t revision,
+                      std::mt19937_64& random,
+                      TimePoint now);
 // Whether a live peer reached the store lately.
 bool HasLiveReader(const PeerTable& peers, TimePoint now);
 // Whether this instance has to follow the store itself: it comes early in the
 // order of its failure domain, or too few that come earlier do.
 bool ShouldReadStore(const PeerTable& peers, TimePoint now);
+// Number of live instances of the own failure domain that come earlier in the
+// order of those that read the store.
+std::size_t PlaceInDomain(const PeerTable& peers, TimePoint now);
 std::vector<UpstreamLoad> OwnLoads(const UpstreamTable& upstreams);
 
 }  // namespace geraniumspread::dispatch
--- /dev/null
+++ b/src/dispatch/tests/freshness_test.cc
@@ -0,0 +1,435 @@
+#include "dispatch/freshness.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dispatch/peer_table.h"
+#include "dispatch/published_state.h"
+
+namespace geraniumspread::dispatch {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+Freshness MakeFreshness(Duration bound) {
+  Freshness freshness;
+  freshness.settings.bound = bound;
+  return freshness;
+}
+
+// Guards against an instance that trusts its copy without any proof.
+BOOST_AUTO_TEST_CASE(WithoutAConfirmationEachInstanceAsks) {
+  BOOST_TEST(MustAsk(MakeFreshness(2s), 0, kStart));
+  BOOST_TEST(MustAsk(MakeFreshness(2s), 400, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(TheFirstOfTheOrderAsksFirst) {
+  Freshness freshness = MakeFreshness(2s);
+  Confirm(freshness, kStart);
+  BOOST_TEST(!MustAsk(freshness, 0, kStart + 700ms));
+  BOOST_TEST(MustAsk(freshness, 0, kStart + 701ms));
+  BOOST_TEST(!MustAsk(freshness, 1, kStart + 760ms));
+  BOOST_TEST(MustAsk(freshness, 1, kStart + 761ms));
+  // The last of 52 instances of a failure domain waits six steps of 60 ms.
+  BOOST_TEST(!MustAsk(freshness, 51, kStart + 1060ms));
+  BOOST_TEST(MustAsk(freshness, 51, kStart + 1061ms));
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderConfirmationChangesNothing) {
+  Freshness freshness = MakeFreshness(2s);
+  Confirm(freshness, kStart);
+  ConfirmByPeer(freshness, 500ms, kStart + 100ms);
+  BOOST_TEST((ConfirmationAge(freshness, kStart + 100ms) == 100ms));
+  ConfirmByPeer(freshness, -1ms, kStart + 5s);
+  BOOST_TEST((ConfirmationAge(freshness, kStart + 100ms) == 100ms));
+}
+
+// Guards against digests that waited in the socket while the machine was suspended.
+BOOST_AUTO_TEST_CASE(DigestsFromBeforeAStandstillConfirmNothing) {
+  Freshness freshness = MakeFreshness(2s);
+  Confirm(freshness, kStart);
+  NoteStandstill(freshness, kStart + 5s);
+  ConfirmByPeer(freshness, 0ms, kStart + 5s);
+  BOOST_TEST(MustAsk(freshness, 0, kStart + 5s));
+  ConfirmByPeer(freshness, 0ms, kStart + 6s);
+  BOOST_TEST(!MustAsk(freshness, 0, kStart + 6s));
+}
+
+// Plays a fleet with the decisions of this module and of the peer table, over a
+// network and a store of a few lines. Times go in steps of `kStep`; whether to
+// call the store is decided each 100 ms, as its client does when it is idle.
+constexpr Duration kStep = 10ms;
+// A link of 10 Mbit/s carries a packed configuration of 60 KB in this time.
+constexpr Duration kTransfer = 50ms;
+constexpr Duration kStoreAnswer = 30ms;
+constexpr Duration kBound = 3s;
+
+enum class Access : std::uint8_t {
+  kServed,
+  // The store refuses the instance's calls at once.
+  kRefused,
+  // Calls get no answer.
+  kSilent,
+};
+
+struct Datagram {
+  TimePoint arrives;
+  std::size_t target = 0;
+  PeerDigest digest;
+  bool operator<(const Datagram& other) const { return this->arrives > other.arrives; }
+};
+
+struct FakeInstance {
+  std::string address;
+  PeerTable peers;
+  UpstreamTable upstreams;
+  Freshness freshness;
+  std::uint64_t revision = 0;
+  std::uint64_t sequence = 0;
+  bool reads = true;
+  bool reached = true;
+  Access access = Access::kServed;
+  TimePoint paused_until;
+  // The call to the store under way: when it was asked, when it ends, with what.
+  TimePoint call_asked;
+  std::optional<TimePoint> call_ends;
+  bool call_fails = false;
+  bool call_asks = false;
+  Duration call_wait{0};
+  TimePoint next_call;
+  std::uint32_t failures = 0;
+  // The transfer from a peer under way.
+  std::optional<TimePoint> pull_ends;
+  std::uint64_t pull_revision = 0;
+  std::optional<TimePoint> pull_confirmed_at;
+  // End of the transfers that this instance gives to others.
+  TimePoint link_free;
+  TimePoint next_digest;
+  TimePoint in_force_at;
+};
+
+struct FakeFleet {
+  std::vector<FakeInstance> instances;
+  std::map<std::string, std::size_t> by_address;
+  std::priority_queue<Datagram> datagrams;
+  std::uint64_t store_revision = 1;
+  std::mt19937_64 random;
+  std::uint64_t store_calls = 0;
+  double loss = 0.02;
+};
+
+FakeFleet MakeFleet(std::size_t count, std::size_t domains, std::uint64_t seed) {
+  FakeFleet fleet;
+  fleet.random.seed(seed);
+  fleet.instances.resize(count);
+  for (std::size_t index = 0; index < count; ++index) {
+    FakeInstance& instance = fleet.instances[index];
+    instance.address = "10." + std::to_string(index % domains) + ".0." + std::to_string(index);
+    instance.peers.self_address = instance.address;
+    instance.peers.self_domain = "zone-" + std::to_string(index % domains);
+    instance.freshness.settings.bound = kBound;
+    instance.next_digest = kStart + std::chrono::milliseconds(fleet.random() % 200);
+    instance.revision = 1;
+    fleet.by_address[instance.address] = index;
+  }
+  // All know each other, as after some seconds of digests.
+  for (FakeInstance& instance : fleet.instances) {
+    for (const FakeInstance& other : fleet.instances) {
+      PeerDigest digest;
+      digest.incarnation = 1;
+      digest.address = other.address;
+      digest.failure_domain = other.peers.self_domain;
+      digest.sequence = 1;
+      digest.published_revision = 1;
+      ApplyDigest(instance.peers, instance.upstreams, digest, kStart);
+    }
+    instance.sequence = 1;
+  }
+  return fleet;
+}
+
+void SendDigest(FakeFleet& fleet, FakeInstance& instance, TimePoint now) {
+  PeerDigest digest;
+  digest.incarnation = 1;
+  digest.address = instance.address;
+  digest.failure_domain = instance.peers.self_domain;
+  digest.sequence = ++instance.sequence;
+  digest.published_revision = instance.revision;
+  digest.confirmation_age = ConfirmationAge(instance.freshness, now);
+  digest.reads_store = instance.reads && instance.reached;
+  std::uniform_real_distribution<double> chance(0, 1);
+  for (const std::string& target :
+       DigestTargets(instance.peers, instance.reads, fleet.random, now)) {
+    if (chance(fleet.random) >= fleet.loss) {
+      fleet.datagrams.push({now + 2ms, fleet.by_address.at(target), digest});
+    }
+  }
+}
+
+void TakeRevision(FakeInstance& instance, std::uint64_t revision, TimePoint now) {
+  if (revision > instance.revision) {
+    instance.revision = revision;
+    instance.in_force_at = now;
+  }
+}
+
+void StartPull(FakeFleet& fleet, FakeInstance& instance, TimePoint now) {
+  const Peer* ahead = PeerAhead(instance.peers, instance.revision, fleet.random, now);
+  if (ahead == nullptr || instance.pull_ends || (instance.reads && instance.reached)) {
+    return;
+  }
+  FakeInstance& holder = fleet.instances[fleet.by_address.at(ahead->digest.address)];
+  holder.link_free = std::max(holder.link_free, now) + kTransfer;
+  instance.pull_ends = holder.link_free;
+  instance.pull_revision = holder.revision;
+  const auto age = ConfirmationAge(holder.freshness, now);
+  instance.pull_confirmed_at = age ? std::optional(now - *age) : std::nullopt;
+}
+
+void FinishPull(FakeInstance& instance, TimePoint now) {
+  if (!instance.pull_ends || *instance.pull_ends > now) {
+    return;
+  }
+  instance.pull_ends.reset();
+  TakeRevision(instance, instance.pull_revision, now);
+  if (instance.pull_confirmed_at && instance.revision == instance.pull_revision) {
+    Confirm(instance.freshness, *instance.pull_confirmed_at);
+  }
+}
+
+// As the store's client: one call at a time, a pause after failures.
+void StartCall(FakeFleet& fleet, FakeInstance& instance, TimePoint now) {
+  instance.reads = ShouldReadStore(instance.peers, now);
+  const bool asks = MustAsk(instance.freshness, PlaceInDomain(instance.peers, now), now);
+  if (instance.call_ends || now < instance.next_call || (!asks && !instance.reads)) {
+    return;
+  }
+  ++fleet.store_calls;
+  const FreshnessSettings& settings = instance.freshness.settings;
+  instance.call_asked = now;
+  instance.call_asks = asks;
+  instance.call_wait = asks ? 1ms : WatchTime(settings);
+  instance.call_fails = instance.access != Access::kServed;
+  if (instance.access == Access::kRefused) {
+    instance.call_ends = now + kStoreAnswer;
+  } else if (instance.access == Access::kSilent) {
+    instance.call_ends = now + instance.call_wait + (asks ? AnswerTime(settings) : 450ms);
+  } else {
+    instance.call_ends = now + instance.call_wait + kStoreAnswer;
+  }
+}
+
+void FinishCall(FakeFleet& fleet, FakeInstance& instance, TimePoint now) {
+  if (!instance.call_ends) {
+    return;
+  }
+  // A watch ends with the first change.
+  const bool is_changed = !instance.call_fails && fleet.store_revision > instance.revision;
+  if (*instance.call_ends > now && !is_changed) {
+    return;
+  }
+  instance.call_ends.reset();
+  if (instance.call_fails) {
+    instance.reached = ++instance.failures <= 1;
+    const Duration longest =
+        instance.call_asks ? std::min<Duration>(500ms * (1U << std::min(instance.failures, 4U)), 2s)
+                           : 500ms;
+    instance.next_call =
+        instance.failures <= 1
+            ? now
+            : now + 150ms +
+                  std::chrono::milliseconds(fleet.random() %
+                                            static_cast<std::uint64_t>(longest / 1ms - 150));
+    return;
+  }
+  instance.failures = 0;
+  instance.reached = true;
+  TakeRevision(instance, fleet.store_revision, now + kTransfer);
+  Confirm(instance.freshness,
+          is_changed ? instance.call_asked : instance.call_asked + instance.call_wait);
+  if (is_changed) {
+    instance.next_call = now + 250ms;
+    SendDigest(fleet, instance, now + kTransfer);
+  }
+}
+
+void DeliverDigests(FakeFleet& fleet, TimePoint now) {
+  while (!fleet.datagrams.empty() && fleet.datagrams.top().arrives <= now) {
+    const Datagram datagram = fleet.datagrams.top();
+    fleet.datagrams.pop();
+    FakeInstance& instance = fleet.instances[datagram.target];
+    if (now < instance.paused_until) {
+      continue;
+    }
+    const PeerDigest& digest = datagram.digest;
+    if (IsNewDigest(instance.peers, digest) && digest.confirmation_age &&
+        digest.published_revision <= instance.revision) {
+      ConfirmByPeer(instance.freshness, *digest.confirmation_age, now);
+    }
+    ApplyDigest(instance.peers, instance.upstreams, digest, now);
+    StartPull(fleet, instance, now);
+  }
+}
+
+void Play(FakeFleet& fleet, TimePoint from, TimePoint to) {
+  for (TimePoint now = from; now < to; now += kStep) {
+    const bool looks = (now - kStart) / kStep % 10 == 0;
+    DeliverDigests(fleet, now);
+    for (FakeInstance& instance : fleet.instances) {
+      if (now < instance.paused_until) {
+        continue;
+      }
+      FinishPull(instance, now);
+      FinishCall(fleet, instance, now);
+      if (looks) {
+        StartCall(fleet, instance, now);
+      }
+      if (now >= instance.next_digest) {
+        instance.next_digest += 200ms;
+        ExpirePeers(instance.peers, instance.upstreams, now);
+        SendDigest(fleet, instance, now);
+        StartPull(fleet, instance, now);
+      }
+    }
+  }
+}
+
+// The longest time from `published_at` until an instance that the store serves
+// and that ran all the while has the revision.
+Duration LastInForce(const FakeFleet& fleet, TimePoint published_at) {
+  Duration last{0};
+  for (const FakeInstance& instance : fleet.instances) {
+    if (instance.access == Access::kServed && instance.paused_until < kStart) {
+      BOOST_TEST(instance.revision == fleet.store_revision);
+      last = std::max(last, instance.in_force_at - published_at);
+    }
+  }
+  return last;
+}
+
+struct FleetSize {
+  std::size_t instances;
+  std::size_t domains;
+};
+constexpr FleetSize kSizes[] = {{30, 3}, {89, 3}, {300, 5}, {410, 8}};
+
+// The larger fleets take seconds a run.
+std::uint64_t SeedsOf(const FleetSize& size) {
+  return size.instances < 100 ? 6 : 1;
+}
+
+// Plays one change and returns the time until the last instance has it.
+Duration PlayChange(FakeFleet& fleet, std::uint64_t seed) {
+  constexpr Duration kSettle = 4s;
+  const TimePoint published_at = kStart + kSettle + std::chrono::milliseconds(seed * 97 % 1000);
+  Play(fleet, kStart, published_at);
+  fleet.store_calls = 0;
+  ++fleet.store_revision;
+  Play(fleet, published_at, published_at + kBound + 1s);
+  return LastInForce(fleet, published_at);
+}
+
+// Pattern: a calm fleet. The bound holds and few instances call the store.
+BOOST_AUTO_TEST_CASE(AChangeIsInForceOnAllInstancesInTime) {
+  for (const FleetSize& size : kSizes) {
+    for (std::uint64_t seed = 1; seed <= SeedsOf(size); ++seed) {
+      FakeFleet fleet = MakeFleet(size.instances, size.domains, seed);
+      BOOST_TEST_CONTEXT(size.instances << " instances, seed " << seed) {
+        BOOST_TEST(Milliseconds(PlayChange(fleet, seed)) < Milliseconds(kBound));
+        // Over 4 s: a reader of each domain watches, and some instances ask.
+        BOOST_TEST(fleet.store_calls < 5 * 4 * size.domains);
+      }
+    }
+  }
+}
+
+// Pattern: the store turns a third of the instances away, among them readers, by
+// a refusal or by silence.
+BOOST_AUTO_TEST_CASE(TheBoundHoldsWhileTheStoreTurnsReadersAway) {
+  for (const Access access : {Access::kRefused, Access::kSilent}) {
+    for (const FleetSize& size : kSizes) {
+      for (std::uint64_t seed = 1; seed <= SeedsOf(size); ++seed) {
+        FakeFleet fleet = MakeFleet(size.instances, size.domains, seed);
+        Play(fleet, kStart, kStart + 3s);
+        for (FakeInstance& instance : fleet.instances) {
+          // Readers are turned away more often than others.
+          const bool is_hit = fleet.random() % 3 == 0 || (instance.reads && fleet.random() % 3 > 0);
+          instance.access = is_hit ? access : Access::kServed;
+        }
+        const TimePoint published_at = kStart + 3s + std::chrono::milliseconds(seed * 130);
+        Play(fleet, kStart + 3s, published_at);
+        ++fleet.store_revision;
+        Play(fleet, published_at, published_at + kBound + 1s);
+        BOOST_TEST(Milliseconds(LastInForce(fleet, published_at)) < Milliseconds(kBound));
+      }
+    }
+  }
+}
+
+// Pattern: every reader is paused, and says nothing any more, just before the change.
+BOOST_AUTO_TEST_CASE(TheBoundHoldsWhenAllReadersStandStill) {
+  for (const FleetSize& size : kSizes) {
+    for (std::uint64_t seed = 1; seed <= SeedsOf(size); ++seed) {
+      FakeFleet fleet = MakeFleet(size.instances, size.domains, seed);
+      const TimePoint published_at = kStart + 3s + std::chrono::milliseconds(seed * 130);
+      Play(fleet, kStart, published_at);
+      for (FakeInstance& instance : fleet.instances) {
+        instance.paused_until = instance.reads ? published_at + 10s : TimePoint{};
+      }
+      ++fleet.store_revision;
+      Play(fleet, published_at, published_at + kBound + 1s);
+      BOOST_TEST(Milliseconds(LastInForce(fleet, published_at)) < Milliseconds(kBound));
+    }
+  }
+}
+
+// Pattern: a storm of large configurations, one each 65 ms. Copies of peers that
+// are behind themselves prove nothing, so partial progress doesn't delay a question.
+BOOST_AUTO_TEST_CASE(TheBoundHoldsForTheLastChangeOfAStorm) {
+  for (const FleetSize& size : kSizes) {
+    for (std::uint64_t seed = 1; seed <= SeedsOf(size); ++seed) {
+      FakeFleet fleet = MakeFleet(size.instances, size.domains, seed);
+      TimePoint now = kStart + 3s;
+      Play(fleet, kStart, now);
+      for (int version = 0; version < 47; ++version) {
+        ++fleet.store_revision;
+        Play(fleet, now, now + 70ms);
+        now += 70ms;
+      }
+      ++fleet.store_revision;
+      Play(fleet, now, now + kBound + 1s);
+      BOOST_TEST(Milliseconds(LastInForce(fleet, now)) < Milliseconds(kBound));
+    }
+  }
+}
+
+// Pattern: a peer that says that its old copy is fresh keeps this instance quiet
+// only until the copy of another shows the change.
+BOOST_AUTO_TEST_CASE(AConfirmationOfAnOlderRevisionIsNotTakenByThoseAhead) {
+  FakeFleet fleet = MakeFleet(30, 3, 1);
+  Play(fleet, kStart, kStart + 3s);
+  FakeInstance& liar = fleet.instances.front();
+  liar.access = Access::kSilent;
+  ++fleet.store_revision;
+  TimePoint now = kStart + 3s;
+  for (int step = 0; step < 40; ++step, now += 100ms) {
+    liar.freshness.confirmed_at = now;
+    Play(fleet, now, now + 100ms);
+  }
+  BOOST_TEST((LastInForce(fleet, kStart + 3s) < kBound));
+}
+
+}  // namespace
+}  // namespace geraniumspread::dispatch
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "dispatch/freshness.h"
 #include "edge/edge_types.h"
 
 namespace geraniumspread::edge {
@@ -39,8 +40,11 @@
   void OnFeedReachable(bool reachable);
   void NoteFeedCall(Duration elapsed, bool answered);
   std::uint64_t PublishedRevision() const;
-  // False while enough other instances follow the feed and this one copies from them.
-  bool ShouldReadStore();
+  // The store answered: the state held all that it had at this moment.
+  void OnFeedConfirmed(TimePoint as_of);
+  // Whether this instance follows the store, asks it once, or copies from peers.
+  dispatch::StoreReading Reading();
+  const dispatch::FreshnessSettings& FreshnessBounds() const;
 
  private:
   std::shared_ptr<detail::EdgeState> state;
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -13,6 +13,7 @@
 #include "common/common_types.h"
 #include "common/result.h"
 #include "dispatch/dispatch_types.h"
+#include "dispatch/freshness.h"
 #include "dispatch/published_state.h"
 #include "dispatch/routing_config.h"
 #include "dispatch/selection.h"
@@ -41,6 +42,7 @@
   transport::Endpoint store_endpoint;
   dispatch::SelectionSettings selection;
   dispatch::RetryBudgetSettings retries;
+  dispatch::FreshnessSettings freshness;
   // Time between SIGTERM and the end of the process.
   Duration stop_grace = std::chrono::seconds(8);
   // One in this many requests that succeed at once is logged.
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -20,6 +20,9 @@
 using observability::LogEvent;
 using observability::LogLevel;
 
+// A process that started hears its failure domain's readers within this time, a
+// few digest intervals; before that it asks only for what nobody confirms.
+constexpr Duration kReaderSettleTime = std::chrono::seconds(1);
 // A gap this long between ticks means that the process stood still.
 constexpr Duration kFreezeThreshold = std::chrono::milliseconds(700);
 // After SIGTERM the platform sends no new connections once it has seen two
@@ -44,10 +47,15 @@
   if (gap > kFreezeThreshold) {
     // Upstreams may have closed or reused what was idle.
     edge.connections.CloseIdle();
+    dispatch::NoteStandstill(edge.freshness, now);
     LogEvent(LogLevel::kWarn, "woke_after_standstill", {{"gap_ms", Milliseconds(gap)}});
   }
 }
 
+bool IsSettled(const EdgeState& edge) {
+  return RuntimeClock::now() >= edge.started_at + kReaderSettleTime;
+}
+
 void CheckStopped(EdgeState& edge) {
   const TimePoint now = RuntimeClock::now();
   const TimePoint deadline = edge.stop_at + edge.settings.stop_grace - kStopMargin;
@@ -89,7 +97,7 @@
     LogEvent(LogLevel::kWarn, "failure_domain_silent", {{"failure_domain", domain}});
     LeaveDomain(*edge, domain);
   }
-  const bool reaches_store = edge->feed_reachable && edge->reads_store;
+  const bool reaches_store = edge->feed_reachable && (edge->reads_store || !IsSettled(*edge));
   dispatch::NoteStoreReach(
       edge->store_outage,
       reaches_store || dispatch::HasLiveReader(edge->peers, RuntimeClock::now()),
@@ -173,7 +181,9 @@
   this->state->peers.self_address = this->state->settings.address;
   this->state->peers.self_domain = this->state->settings.failure_domain;
   this->state->retries.settings = this->state->settings.retries;
-  this->state->last_tick = RuntimeClock::now();
+  this->state->freshness.settings = this->state->settings.freshness;
+  this->state->started_at = RuntimeClock::now();
+  this->state->last_tick = this->state->started_at;
   this->state->last_boot_time = detail::BootTime();
 }
 
@@ -225,6 +235,7 @@
   current.retries = settings.retries;
   current.stop_grace = settings.stop_grace;
   this->state->retries.settings = settings.retries;
+  this->state->freshness.settings = settings.freshness;
 }
 
 void Edge::Stop(std::function<void()> stopped) {
@@ -240,8 +251,12 @@
 
 void Edge::OnPublishedChanges(std::vector<dispatch::PublishedItem> changes,
                               std::uint64_t revision) {
+  const std::uint64_t before = this->state->published.revision;
   detail::ApplyPublished(
       *this->state, dispatch::ApplyChanges(this->state->published, std::move(changes), revision));
+  if (this->state->published.revision > before) {
+    detail::SendDigests(*this->state);
+  }
 }
 
 void Edge::OnPublishedState(std::vector<dispatch::PublishedItem> items, std::uint64_t revision) {
@@ -249,23 +264,43 @@
       *this->state, dispatch::ReplaceState(this->state->published, std::move(items), revision));
 }
 
+void Edge::OnFeedConfirmed(TimePoint as_of) {
+  dispatch::Confirm(this->state->freshness, as_of);
+}
+
 std::uint64_t Edge::PublishedRevision() const {
   return this->state->published.revision;
 }
 
-bool Edge::ShouldReadStore() {
+const dispatch::FreshnessSettings& Edge::FreshnessBounds() const {
+  return this->state->freshness.settings;
+}
+
+dispatch::StoreReading Edge::Reading() {
   detail::EdgeState& edge = *this->state;
   const TimePoint now = RuntimeClock::now();
-  const bool is_left_behind =
-      edge.behind_since && *edge.behind_since + edge.peers.settings.max_behind < now;
-  const bool reads = is_left_behind || dispatch::ShouldReadStore(edge.peers, now);
+  const bool reads = detail::IsSettled(edge) && dispatch::ShouldReadStore(edge.peers, now);
+  const std::size_t place = dispatch::PlaceInDomain(edge.peers, now);
+  const bool asks = dispatch::MustAsk(edge.freshness, place, now);
   if (reads != edge.reads_store) {
-    observability::LogEvent(
-        observability::LogLevel::kInfo, "store_reading",
-        {{"reads", reads}, {"left_behind", is_left_behind}, {"revision", edge.published.revision}});
+    observability::LogEvent(observability::LogLevel::kInfo, "store_reading",
+                            {{"reads", reads}, {"revision", edge.published.revision}});
     edge.reads_store = reads;
   }
-  return reads;
+  if (!asks) {
+    edge.asks_store = false;
+    return reads ? dispatch::StoreReading::kWatch : dispatch::StoreReading::kNone;
+  }
+  const auto age = dispatch::ConfirmationAge(edge.freshness, now);
+  edge.metrics.Count("geranium_store_questions_total");
+  if (!edge.asks_store) {
+    observability::LogEvent(observability::LogLevel::kInfo, "store_asked",
+                            {{"confirmation_age_ms", age ? detail::Milliseconds(*age) : -1},
+                             {"place", place},
+                             {"revision", edge.published.revision}});
+  }
+  edge.asks_store = true;
+  return dispatch::StoreReading::kAsk;
 }
 
 void Edge::NoteFeedCall(Duration elapsed, bool answered) {
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -12,6 +12,7 @@
 
 #include "common/hash.h"
 #include "common/runtime_timer.h"
+#include "dispatch/freshness.h"
 #include "dispatch/peer_table.h"
 #include "dispatch/published_state.h"
 #include "dispatch/selection.h"
@@ -51,7 +52,10 @@
   std::unordered_set<RequestRun*> runs;
   dispatch::StoreOutage store_outage;
   bool feed_reachable = false;
-  bool reads_store = true;
+  bool reads_store = false;
+  dispatch::Freshness freshness;
+  // The copy's confirmation is too old, so this instance asks the store itself.
+  bool asks_store = false;
   // Since when a peer has had newer published state than this instance.
   std::optional<TimePoint> behind_since;
   bool pulling = false;
@@ -59,6 +63,7 @@
   std::uint64_t incarnation = 0;
   std::uint64_t digest_sequence = 0;
   std::mt19937_64 random;
+  TimePoint started_at;
   TimePoint last_tick;
   std::chrono::nanoseconds last_boot_time{0};
 
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -1,65 +1,168 @@
 #include "edge/internal/peer_codec.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/json/value_to.hpp>
+#include <functional>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "common/compression.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
 
 namespace json = boost::json;
+using Cbor = nlohmann::json;
+
+constexpr unsigned kDigestVersion = 1;
+constexpr std::size_t kDigestFields = 11;
+constexpr unsigned kLeaving = 1;
+constexpr unsigned kReadsStore = 2;
+// Fits one packet on a usual link.
+constexpr std::size_t kMaxDigestBytes = 1400;
+// Loads beyond this many are left out, the smallest first. A row takes up to 24 bytes.
+constexpr std::size_t kMaxLoads = 48;
+
+// Smaller transfers are sent as they are: packing takes longer than the link.
+constexpr std::size_t kMinPackedBytes = 2048;
+// Begins a packed transfer; the text form begins with a brace.
+constexpr char kPackedMark = 'Z';
+// Largest state of a peer: the platform's values are at most a megabyte each.
+constexpr std::size_t kMaxStateBytes = std::size_t{16} << 20U;
 
 json::object Parse(std::string_view bytes) {
   return json::parse(bytes).as_object();
 }
 
+json::value EncodeAge(const std::optional<Duration>& age) {
+  if (!age) {
+    return nullptr;
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(*age).count();
+}
+
+// An older confirmation confirms nothing.
+std::optional<Duration> CheckedAge(std::uint64_t milliseconds) {
+  constexpr std::uint64_t kMaxMilliseconds = 3'600'000;
+  if (milliseconds > kMaxMilliseconds) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
+std::optional<Duration> DecodeAge(const json::value& value) {
+  return value.is_null() ? std::nullopt : CheckedAge(value.to_number<std::uint64_t>());
+}
+
+// Throws for a negative or too large number, which a plain read would wrap.
+template <typename Value>
+Value Number(const Cbor& value) {
+  const auto number = value.get<std::uint64_t>();
+  if (!value.is_number_unsigned() || number > std::numeric_limits<Value>::max()) {
+    throw std::out_of_range("not a number of this size");
+  }
+  return static_cast<Value>(number);
+}
+
+std::vector<dispatch::UpstreamLoad> LargestLoads(std::vector<dispatch::UpstreamLoad> loads) {
+  if (loads.size() > kMaxLoads) {
+    std::ranges::nth_element(loads, loads.begin() + kMaxLoads, std::greater(),
+                             &dispatch::UpstreamLoad::running);
+    loads.resize(kMaxLoads);
+  }
+  return loads;
+}
+
+std::vector<dispatch::UpstreamLoad> DecodeLoads(const Cbor& row) {
+  constexpr std::size_t kNumbers = 3;
+  if (!row.is_array() || row.size() % kNumbers != 0) {
+    throw std::out_of_range("loads come by three numbers");
+  }
+  std::vector<dispatch::UpstreamLoad> loads;
+  for (std::size_t index = 0; index < row.size(); index += kNumbers) {
+    loads.push_back({Number<std::uint64_t>(row[index]), Number<std::uint32_t>(row[index + 1]),
+                     Number<std::uint64_t>(row[index + 2])});
+  }
+  return loads;
+}
+
+StateTransfer DecodeText(std::string_view text) {
+  const json::object object = Parse(text);
+  StateTransfer transfer;
+  transfer.revision = object.at("revision").to_number<std::uint64_t>();
+  transfer.is_complete = object.at("complete").as_bool();
+  transfer.confirmation_age = DecodeAge(object.at("confirmation_age_ms"));
+  for (const json::value& value : object.at("items").as_array()) {
+    const json::array& row = value.as_array();
+    transfer.items.push_back({std::string(row.at(0).as_string()),
+                              std::string(row.at(1).as_string()),
+                              row.at(2).to_number<std::uint64_t>(), row.at(3).as_bool()});
+  }
+  return transfer;
+}
+
 }  // namespace
 
+// A digest is a CBOR array, as it goes to several peers each 200 ms: version,
+// instance, incarnation, sequence, address, failure domain, flags, revision, age
+// of the confirmation, loads in a row (three numbers each), known addresses.
 std::string EncodeDigest(const dispatch::PeerDigest& digest) {
-  json::array loads;
-  for (const dispatch::UpstreamLoad& load : digest.loads) {
-    loads.push_back(json::array{load.upstream_hash, load.running, load.unread_tokens});
+  Cbor loads = Cbor::array();
+  for (const dispatch::UpstreamLoad& load : LargestLoads(digest.loads)) {
+    loads.insert(loads.end(), {load.upstream_hash, load.running, load.unread_tokens});
   }
-  json::array addresses;
-  for (const std::string& address : digest.known_addresses) {
-    addresses.emplace_back(address);
-  }
-  return json::serialize(json::object{{"instance", digest.instance},
-                                      {"incarnation", digest.incarnation},
-                                      {"sequence", digest.sequence},
-                                      {"address", digest.address},
-                                      {"domain", digest.failure_domain},
-                                      {"leaving", digest.leaving},
-                                      {"revision", digest.published_revision},
-                                      {"reads_store", digest.reads_store},
-                                      {"loads", std::move(loads)},
-                                      {"known", std::move(addresses)}});
+  const unsigned flags = (digest.leaving ? kLeaving : 0) | (digest.reads_store ? kReadsStore : 0);
+  const Cbor age =
+      digest.confirmation_age
+          ? Cbor(std::chrono::duration_cast<std::chrono::milliseconds>(*digest.confirmation_age)
+                     .count())
+          : Cbor(nullptr);
+  const Cbor message = {kDigestVersion,
+                        digest.instance,
+                        digest.incarnation,
+                        digest.sequence,
+                        digest.address,
+                        digest.failure_domain,
+                        flags,
+                        digest.published_revision,
+                        age,
+                        std::move(loads),
+                        digest.known_addresses};
+  std::string bytes;
+  Cbor::to_cbor(message, bytes);
+  return bytes;
 }
 
 std::optional<dispatch::PeerDigest> DecodeDigest(std::string_view bytes) {
-  // The JSON accessors throw; a datagram that is not a digest is only dropped.
+  // The limit also bounds the depth of nested arrays, which the parser recurses into.
+  if (bytes.size() > kMaxDigestBytes) {
+    return std::nullopt;
+  }
+  // The accessors throw; a datagram that is not a digest is only dropped.
   try {
-    const json::object object = Parse(bytes);
-    dispatch::PeerDigest digest;
-    digest.instance = object.at("instance").as_string();
-    digest.incarnation = object.at("incarnation").to_number<std::uint64_t>();
-    digest.sequence = object.at("sequence").to_number<std::uint64_t>();
-    digest.address = object.at("address").as_string();
-    digest.failure_domain = object.at("domain").as_string();
-    digest.leaving = object.at("leaving").as_bool();
-    digest.published_revision = object.at("revision").to_number<std::uint64_t>();
-    digest.reads_store = object.at("reads_store").as_bool();
-    for (const json::value& load : object.at("loads").as_array()) {
-      const json::array& row = load.as_array();
-      digest.loads.push_back({row.at(0).to_number<std::uint64_t>(),
-                              row.at(1).to_number<std::uint32_t>(),
-                              row.at(2).to_number<std::uint64_t>()});
+    const Cbor message = Cbor::from_cbor(bytes);
+    if (message.size() != kDigestFields || Number<unsigned>(message.at(0)) != kDigestVersion) {
+      return std::nullopt;
     }
-    for (const json::value& address : object.at("known").as_array()) {
-      digest.known_addresses.emplace_back(address.as_string());
+    dispatch::PeerDigest digest;
+    digest.instance = message.at(1).get<std::string>();
+    digest.incarnation = Number<std::uint64_t>(message.at(2));
+    digest.sequence = Number<std::uint64_t>(message.at(3));
+    digest.address = message.at(4).get<std::string>();
+    digest.failure_domain = message.at(5).get<std::string>();
+    const auto flags = Number<unsigned>(message.at(6));
+    digest.leaving = (flags & kLeaving) != 0;
+    digest.reads_store = (flags & kReadsStore) != 0;
+    digest.published_revision = Number<std::uint64_t>(message.at(7));
+    if (const Cbor& age = message.at(8); !age.is_null()) {
+      digest.confirmation_age = CheckedAge(Number<std::uint64_t>(age));
     }
+    digest.loads = DecodeLoads(message.at(9));
+    digest.known_addresses = message.at(10).get<std::vector<std::string>>();
     return digest;
   } catch (const std::exception&) {
     return std::nullopt;
@@ -71,24 +174,21 @@
   for (const dispatch::PublishedItem& item : transfer.items) {
     items.push_back(json::array{item.key, item.value, item.revision, item.removed});
   }
-  return json::serialize(json::object{{"revision", transfer.revision},
-                                      {"complete", transfer.is_complete},
-                                      {"items", std::move(items)}});
+  std::string text =
+      json::serialize(json::object{{"revision", transfer.revision},
+                                   {"complete", transfer.is_complete},
+                                   {"confirmation_age_ms", EncodeAge(transfer.confirmation_age)},
+                                   {"items", std::move(items)}});
+  return text.size() < kMinPackedBytes ? text : kPackedMark + Compress(text);
 }
 
 std::optional<StateTransfer> DecodeTransfer(std::string_view bytes) {
   try {
-    const json::object object = Parse(bytes);
-    StateTransfer transfer;
-    transfer.revision = object.at("revision").to_number<std::uint64_t>();
-    transfer.is_complete = object.at("complete").as_bool();
-    for (const json::value& value : object.at("items").as_array()) {
-      const json::array& row = value.as_array();
-      transfer.items.push_back({std::string(row.at(0).as_string()),
-                                std::string(row.at(1).as_string()),
-                                row.at(2).to_number<std::uint64_t>(), row.at(3).as_bool()});
+    if (!bytes.starts_with(kPackedMark)) {
+      return DecodeText(bytes);
     }
-    return transfer;
+    const auto text = Decompress(bytes.substr(1), kMaxStateBytes);
+    return text ? std::optional(DecodeText(*text)) : std::nullopt;
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/edge/internal/peer_codec.h
+++ b/src/edge/internal/peer_codec.h
@@ -18,6 +18,8 @@
 struct StateTransfer {
   std::uint64_t revision = 0;
   bool is_complete = false;
+  // Age of the sender's confirmation that the revision was the store's newest.
+  std::optional<Duration> confirmation_age;
   std::vector<dispatch::PublishedItem> items;
 };
 std::string EncodeTransfer(const StateTransfer& transfer);
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -19,10 +19,12 @@
 using observability::LogEvent;
 using observability::LogLevel;
 
-constexpr std::size_t kMaxDatagramBytes = std::size_t{64} * 1024;
+constexpr std::size_t kMaxDatagramBytes = std::size_t{2} * 1024;
 constexpr std::string_view kStateTarget = "/published?after=";
 // Largest state of a peer: the platform's values are at most a megabyte each.
 constexpr std::size_t kMaxStateBytes = std::size_t{16} << 20U;
+// A state of some megabytes over a link of 10 Mbit/s. Another peer is asked then.
+constexpr Duration kPullTimeout = std::chrono::seconds(3);
 // A healthy feed brings the same changes itself, a little later than a peer's.
 constexpr Duration kFeedGrace = std::chrono::milliseconds(400);
 
@@ -51,6 +53,7 @@
   digest.failure_domain = edge.settings.failure_domain;
   digest.leaving = edge.stopping;
   digest.published_revision = edge.published.revision;
+  digest.confirmation_age = dispatch::ConfirmationAge(edge.freshness, RuntimeClock::now());
   digest.reads_store = edge.feed_reachable && edge.reads_store;
   digest.loads = dispatch::OwnLoads(edge.upstreams);
   digest.known_addresses = dispatch::SharedAddresses(edge.peers, edge.random, RuntimeClock::now());
@@ -77,6 +80,7 @@
   timeouts.connect = std::chrono::milliseconds(250);
   timeouts.first_byte = std::chrono::milliseconds(500);
   timeouts.between_bytes = std::chrono::milliseconds(500);
+  timeouts.whole = kPullTimeout;
   const TimePoint asked_at = RuntimeClock::now();
   auto response = co_await transport::Fetch(edge->connections, std::move(endpoint),
                                             std::move(request), timeouts, kMaxStateBytes);
@@ -87,6 +91,7 @@
     transfer = DecodeTransfer(response.value().body);
   }
   if (!transfer) {
+    edge->metrics.Count("geranium_peer_pull_failures_total");
     LogEvent(LogLevel::kWarn, "peer_state_pull_failed", {{"peer", instance}, {"after", after}});
     co_return;
   }
@@ -102,6 +107,18 @@
                                                      transfer->revision)
                             : dispatch::ApplyChanges(edge->published, std::move(transfer->items),
                                                      transfer->revision));
+  // The peer stated its age after it was asked.
+  if (transfer->confirmation_age && edge->published.revision == transfer->revision) {
+    dispatch::Confirm(edge->freshness, asked_at - *transfer->confirmation_age);
+  }
+}
+
+// Takes over the peer's confirmation when this instance has all that the peer has.
+void ConfirmByDigest(EdgeState& edge, const dispatch::PeerDigest& digest) {
+  if (digest.confirmation_age && digest.published_revision != 0 &&
+      digest.published_revision <= edge.published.revision) {
+    dispatch::ConfirmByPeer(edge.freshness, *digest.confirmation_age, RuntimeClock::now());
+  }
 }
 
 }  // namespace
@@ -125,6 +142,9 @@
       continue;
     }
     edge->metrics.Count("geranium_digests_received_total");
+    if (dispatch::IsNewDigest(edge->peers, *digest)) {
+      ConfirmByDigest(*edge, *digest);
+    }
     const auto change =
         dispatch::ApplyDigest(edge->peers, edge->upstreams, *digest, RuntimeClock::now());
     if (change != dispatch::PeerChange::kNone) {
@@ -156,19 +176,19 @@
 
 void PullIfBehind(const Edge& edge) {
   const TimePoint now = RuntimeClock::now();
-  const dispatch::Peer* ahead = dispatch::PeerAhead(edge->peers, edge->published.revision, now);
+  const dispatch::Peer* ahead =
+      dispatch::PeerAhead(edge->peers, edge->published.revision, edge->random, now);
   if (ahead == nullptr) {
     edge->behind_since.reset();
     return;
   }
   const TimePoint behind_since = edge->behind_since.value_or(now);
   edge->behind_since = behind_since;
-  const Duration grace = edge->feed_reachable ? kFeedGrace : Duration{0};
-  if (edge->pulling || behind_since + grace > now) {
+  const bool follows_store = edge->feed_reachable && edge->reads_store;
+  if (edge->pulling || (follows_store && behind_since + kFeedGrace > now)) {
     return;
   }
   edge->pulling = true;
-  edge->behind_since = now;
   asio::co_spawn(edge->io, PullState(edge, ahead->digest.address, ahead->digest.instance),
                  asio::detached);
 }
@@ -186,6 +206,7 @@
   std::from_chars(digits.data(), digits.data() + digits.size(), after);
   StateTransfer transfer;
   transfer.revision = edge->published.revision;
+  transfer.confirmation_age = dispatch::ConfirmationAge(edge->freshness, RuntimeClock::now());
   if (auto changes = dispatch::ChangesSince(edge->published, after); changes) {
     transfer.items = std::move(*changes);
   } else {
--- /dev/null
+++ b/src/edge/tests/peer_codec_test.cc
@@ -0,0 +1,130 @@
+#include "edge/internal/peer_codec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+namespace geraniumspread::edge::detail {
+namespace {
+
+using namespace std::chrono_literals;
+
+dispatch::PeerDigest SampleDigest() {
+  dispatch::PeerDigest digest;
+  digest.instance = "edge-a-16";
+  digest.incarnation = 0xfedcba9876543210U;
+  digest.sequence = 12;
+  digest.address = "10.1.0.16";
+  digest.failure_domain = "zone-a";
+  digest.leaving = true;
+  digest.published_revision = 77;
+  digest.confirmation_age = 340ms;
+  digest.reads_store = true;
+  digest.loads = {{0xfedcba9876543211U, 3, 9000}, {5, 1, 0}};
+  digest.known_addresses = {"10.1.0.17", "10.2.0.1"};
+  return digest;
+}
+
+BOOST_AUTO_TEST_CASE(ADigestComesBackAsItWas) {
+  const dispatch::PeerDigest sent = SampleDigest();
+  const auto digest = DecodeDigest(EncodeDigest(sent));
+  BOOST_TEST_REQUIRE(digest.has_value());
+  BOOST_TEST(digest->instance == sent.instance);
+  BOOST_TEST(digest->incarnation == sent.incarnation);
+  BOOST_TEST(digest->sequence == sent.sequence);
+  BOOST_TEST(digest->address == sent.address);
+  BOOST_TEST(digest->failure_domain == sent.failure_domain);
+  BOOST_TEST(digest->leaving);
+  BOOST_TEST(digest->reads_store);
+  BOOST_TEST(digest->published_revision == 77U);
+  BOOST_TEST((digest->confirmation_age == 340ms));
+  BOOST_TEST_REQUIRE(digest->loads.size() == 2U);
+  BOOST_TEST(digest->loads.front().upstream_hash == 0xfedcba9876543211U);
+  BOOST_TEST(digest->loads.front().unread_tokens == 9000U);
+  BOOST_TEST(digest->known_addresses == sent.known_addresses, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(ADigestWithoutAConfirmationHasNone) {
+  dispatch::PeerDigest digest = SampleDigest();
+  digest.confirmation_age.reset();
+  BOOST_TEST(!DecodeDigest(EncodeDigest(digest))->confirmation_age.has_value());
+}
+
+// Pattern: the design size. Ten digests each 200 ms within 8 KB a second.
+BOOST_AUTO_TEST_CASE(ADigestIsSmall) {
+  constexpr std::size_t kDigestsPerSecond = 50;
+  dispatch::PeerDigest digest = SampleDigest();
+  digest.loads.assign(5, {0xfedcba9876543211U, 3, 1500});
+  digest.known_addresses.assign(4, "10.128.0.116");
+  BOOST_TEST(EncodeDigest(digest).size() * kDigestsPerSecond < 9000U);
+  // Under any load it stays one packet, and the largest loads are told.
+  digest.loads.assign(2900, {0xfedcba9876543211U, 1, 0xffffffffU});
+  digest.loads.back().running = 90;
+  const auto cut = DecodeDigest(EncodeDigest(digest));
+  BOOST_TEST_REQUIRE(cut.has_value());
+  BOOST_TEST(
+      (std::ranges::find(cut->loads, 90U, &dispatch::UpstreamLoad::running) != cut->loads.end()));
+}
+
+// Guards against one malformed message that takes a process down.
+BOOST_AUTO_TEST_CASE(DatagramsThatAreNoDigestsAreDropped) {
+  BOOST_TEST(!DecodeDigest("").has_value());
+  BOOST_TEST(!DecodeDigest("{}").has_value());
+  // Arrays nested as deep as a packet allows, and deeper.
+  BOOST_TEST(!DecodeDigest(std::string(1400, '\x81')).has_value());
+  BOOST_TEST(!DecodeDigest(std::string(60'000, '\x81')).has_value());
+  const std::string good = EncodeDigest(SampleDigest());
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 20'000; ++round) {
+    std::string bytes = good;
+    for (std::uint64_t change = random() % 4 + 1; change > 0; --change) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+    if (const auto digest = DecodeDigest(bytes); digest && digest->confirmation_age) {
+      BOOST_TEST_REQUIRE((*digest->confirmation_age <= 1h));
+    }
+  }
+}
+
+StateTransfer SampleTransfer(std::size_t value_bytes) {
+  StateTransfer transfer;
+  transfer.revision = 9;
+  transfer.is_complete = true;
+  transfer.confirmation_age = 12ms;
+  transfer.items = {{"config", std::string(value_bytes, '"'), 9, false}, {"gone", {}, 8, true}};
+  return transfer;
+}
+
+// Pattern: a configuration of many routes over a narrow link.
+BOOST_AUTO_TEST_CASE(LargeTransfersArePacked) {
+  for (const std::size_t size : {10U, 500'000U}) {
+    const std::string bytes = EncodeTransfer(SampleTransfer(size));
+    const auto transfer = DecodeTransfer(bytes);
+    BOOST_TEST_REQUIRE(transfer.has_value());
+    BOOST_TEST(transfer->is_complete);
+    BOOST_TEST(transfer->items.front().value.size() == size);
+    BOOST_TEST(transfer->items.back().removed);
+    BOOST_TEST((transfer->confirmation_age == 12ms));
+    BOOST_TEST(bytes.size() < 50'000U);
+  }
+}
+
+// Guards against a small transfer that unpacks to more than memory holds.
+BOOST_AUTO_TEST_CASE(ATransferThatUnpacksTooFarIsRefused) {
+  BOOST_TEST(!DecodeTransfer(EncodeTransfer(SampleTransfer(20U << 20U))).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DamagedTransfersAreRefused) {
+  const std::string good = EncodeTransfer(SampleTransfer(5'000));
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 2'000; ++round) {
+    std::string bytes = good;
+    bytes[random() % bytes.size()] = static_cast<char>(random());
+    bytes.resize(random() % 2 == 0 ? random() % bytes.size() : bytes.size());
+    DecodeTransfer(bytes);
+  }
+  BOOST_TEST(!DecodeTransfer(good.substr(0, good.size() - 3)).has_value());
+}
+
+}  // namespace
+}  // namespace geraniumspread::edge::detail
