--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -71,6 +71,7 @@
   for (auto& [id, row] : upstreams) {
     listed.emplace_back(std::move(row));
   }
+  const auto confirmation_age = dispatch::ConfirmationAge(edge.freshness, RuntimeClock::now());
   return json::serialize(json::object{{"instance", edge.settings.instance},
                                       {"failure_domain", edge.settings.failure_domain},
                                       {"state", edge.stopping   ? "stopping"
@@ -78,6 +79,8 @@
                                                                 : "starting"},
                                       {"config", edge.config ? edge.config->version : 0},
                                       {"published_revision", edge.published.revision},
+                                      {"confirmation_age_ms",
+                                       confirmation_age ? Milliseconds(*confirmation_age) : -1},
                                       {"store_reachable", edge.feed_reachable},
                                       {"reads_store", edge.reads_store},
                                       {"domains_out", NamesOf(edge.upstreams.domains_out)},
