--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -72,22 +72,22 @@
     listed.emplace_back(std::move(row));
   }
   const auto confirmation_age = dispatch::ConfirmationAge(edge.freshness, RuntimeClock::now());
-  return json::serialize(json::object{{"instance", edge.settings.instance},
-                                      {"failure_domain", edge.settings.failure_domain},
-                                      {"state", edge.stopping   ? "stopping"
-                                                : IsReady(edge) ? "ready"
-                                                                : "starting"},
-                                      {"config", edge.config ? edge.config->version : 0},
-                                      {"published_revision", edge.published.revision},
-                                      {"confirmation_age_ms",
-                                       confirmation_age ? Milliseconds(*confirmation_age) : -1},
-                                      {"store_reachable", edge.feed_reachable},
-                                      {"reads_store", edge.reads_store},
-                                      {"domains_out", NamesOf(edge.upstreams.domains_out)},
-                                      {"domains_silent", NamesOf(edge.upstreams.domains_silent)},
-                                      {"requests_waiting", edge.runs.size()},
-                                      {"peers", std::move(peers)},
-                                      {"upstreams", std::move(listed)}});
+  return json::serialize(
+      json::object{{"instance", edge.settings.instance},
+                   {"failure_domain", edge.settings.failure_domain},
+                   {"state", edge.stopping   ? "stopping"
+                             : IsReady(edge) ? "ready"
+                                             : "starting"},
+                   {"config", edge.config ? edge.config->version : 0},
+                   {"published_revision", edge.published.revision},
+                   {"confirmation_age_ms", confirmation_age ? Milliseconds(*confirmation_age) : -1},
+                   {"store_reachable", edge.feed_reachable},
+                   {"reads_store", edge.reads_store},
+                   {"domains_out", NamesOf(edge.upstreams.domains_out)},
+                   {"domains_silent", NamesOf(edge.upstreams.domains_silent)},
+                   {"requests_waiting", edge.runs.size()},
+                   {"peers", std::move(peers)},
+                   {"upstreams", std::move(listed)}});
 }
 
 std::string ExplainPage(const EdgeState& edge, std::string_view service) {
