--- a/src/common/internal/compression.cc
+++ b/src/common/internal/compression.cc
@@ -16,7 +16,8 @@
 
 // Inflates all input, piece by piece. False when the output grows beyond the limit.
 bool InflateAll(z_stream& stream, std::size_t max_bytes, std::string& output) {
-  std::array<char, 16 * 1024> piece{};
+  constexpr std::size_t kPieceBytes = 16384;
+  std::array<char, kPieceBytes> piece{};
   int result = Z_OK;
   while (result == Z_OK) {
     stream.next_out = InputOf({piece.data(), piece.size()});
