State the largest transfer between instances once

Ruled out as twins after reading them: PlaceInDomain and ShouldReadStore walk the same peers but count others (all live ones, and readers heard lately); IsNewDigest runs twice a digest, a map lookup, so that what a stale digest confirms is decided before it is applied.

--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -31,8 +31,6 @@
 constexpr std::size_t kMinPackedBytes = 2048;
 // Begins a packed transfer; the text form begins with a brace.
 constexpr char kPackedMark = 'Z';
-// Largest state of a peer: the platform's values are at most a megabyte each.
-constexpr std::size_t kMaxStateBytes = std::size_t{16} << 20U;
 
 json::object Parse(std::string_view bytes) {
   return json::parse(bytes).as_object();
--- a/src/edge/internal/peer_codec.h
+++ b/src/edge/internal/peer_codec.h
@@ -1,6 +1,7 @@
 #ifndef EDGE_INTERNAL_PEER_CODEC_H_
 #define EDGE_INTERNAL_PEER_CODEC_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,9 @@
 std::string EncodeDigest(const dispatch::PeerDigest& digest);
 std::optional<dispatch::PeerDigest> DecodeDigest(std::string_view bytes);
 
+// Largest transfer, packed or not: the platform's values are at most a megabyte each.
+inline constexpr std::size_t kMaxStateBytes = std::size_t{16} << 20U;
+
 // Published state for a peer: all of it, or the changes after a revision.
 struct StateTransfer {
   std::uint64_t revision = 0;
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -21,8 +21,6 @@
 
 constexpr std::size_t kMaxDatagramBytes = std::size_t{2} * 1024;
 constexpr std::string_view kStateTarget = "/published?after=";
-// Largest state of a peer: the platform's values are at most a megabyte each.
-constexpr std::size_t kMaxStateBytes = std::size_t{16} << 20U;
 // A state of some megabytes over a link of 10 Mbit/s. Another peer is asked then.
 constexpr Duration kPullTimeout = std::chrono::seconds(3);
 // A healthy feed brings the same changes itself, a little later than a peer's.
