Show that changes between two pages of a reader are not passed on

A failing test for the reported incident (upstreams that said that they leave and still got requests): copies of the published state, two of them read in pages, four taken from other copies. At the newest revision some still have an old entry, or one that was removed.

--- /dev/null
+++ b/src/dispatch/tests/state_relay_test.cc
@@ -0,0 +1,248 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <map>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "dispatch/published_state.h"
+
+// Copies of the published state, some read from a store in pages and by its
+// history, the others taken from copies. No network: a seed decides who does
+// what next, and how long a transfer is on its way.
+namespace geraniumspread::dispatch {
+namespace {
+
+constexpr std::size_t kPageSize = 3;
+constexpr std::size_t kKeys = 12;
+constexpr std::size_t kReaders = 2;
+constexpr std::size_t kCopies = 6;
+constexpr int kSteps = 400;
+
+using Values = std::map<std::string, std::string>;
+
+struct Store {
+  std::uint64_t revision = 1;
+  std::map<std::string, PublishedItem> items;
+  std::deque<PublishedItem> history;
+  // Changes up to this revision are forgotten.
+  std::uint64_t compacted = 1;
+};
+
+void Write(Store& store, std::string key, std::string value) {
+  PublishedItem item{std::move(key), std::move(value), ++store.revision};
+  store.items[item.key] = item;
+  store.history.push_back(std::move(item));
+}
+
+void Remove(Store& store, const std::string& key) {
+  if (store.items.erase(key) != 0) {
+    store.history.push_back({key, {}, ++store.revision, true});
+  }
+}
+
+void Compact(Store& store) {
+  store.compacted = store.revision;
+  store.history.clear();
+}
+
+struct Transfer {
+  std::vector<PublishedItem> items;
+  std::uint64_t revision = 0;
+  bool is_complete = false;
+};
+
+struct Copy {
+  PublishedState state;
+  // What is built from the reported changes alone, as the table of upstreams is.
+  Values applied;
+  // Pages read so far; a reader that lost the history reads all of them again.
+  bool reads_pages = true;
+  std::vector<PublishedItem> pages;
+  std::uint64_t first_page_revision = 0;
+  std::deque<Transfer> on_the_way;
+};
+
+void Apply(Copy& copy, const std::vector<PublishedItem>& changes) {
+  for (const PublishedItem& change : changes) {
+    if (change.removed) {
+      copy.applied.erase(change.key);
+    } else {
+      copy.applied[change.key] = change.value;
+    }
+  }
+}
+
+void Take(Copy& copy, Transfer transfer) {
+  Apply(copy, transfer.is_complete
+                  ? ReplaceState(copy.state, std::move(transfer.items), transfer.revision)
+                  : ApplyChanges(copy.state, std::move(transfer.items), transfer.revision));
+}
+
+void ReadPage(Copy& reader, const Store& store) {
+  if (reader.first_page_revision == 0) {
+    reader.first_page_revision = store.revision;
+  }
+  auto next =
+      reader.pages.empty() ? store.items.begin() : store.items.upper_bound(reader.pages.back().key);
+  for (std::size_t count = 0; count < kPageSize && next != store.items.end(); ++count, ++next) {
+    reader.pages.push_back(next->second);
+  }
+  if (next == store.items.end()) {
+    Take(reader, {std::exchange(reader.pages, {}), reader.first_page_revision, true});
+    reader.first_page_revision = 0;
+    reader.reads_pages = false;
+  }
+}
+
+void ReadStore(Copy& reader, const Store& store) {
+  if (!reader.reads_pages && reader.state.revision < store.compacted) {
+    reader.reads_pages = true;
+  }
+  if (reader.reads_pages) {
+    ReadPage(reader, store);
+    return;
+  }
+  Transfer changes{{}, store.revision};
+  std::ranges::copy_if(
+      store.history, std::back_inserter(changes.items),
+      [&](const PublishedItem& item) { return item.revision > reader.state.revision; });
+  Take(reader, std::move(changes));
+}
+
+Transfer TransferAfter(const PublishedState& state, std::uint64_t revision) {
+  if (auto changes = ChangesSince(state, revision); changes) {
+    return {std::move(*changes), state.revision};
+  }
+  Transfer transfer{{}, state.revision, true};
+  for (const auto& [key, item] : state.items) {
+    transfer.items.push_back(item);
+  }
+  return transfer;
+}
+
+void Pull(Copy& copy, const Copy& from) {
+  if (from.state.revision > copy.state.revision) {
+    copy.on_the_way.push_back(TransferAfter(from.state, copy.state.revision));
+  }
+}
+
+void TakeArrived(Copy& copy) {
+  if (!copy.on_the_way.empty()) {
+    Take(copy, std::move(copy.on_the_way.front()));
+    copy.on_the_way.pop_front();
+  }
+}
+
+void ChangeStore(Store& store, std::mt19937& random) {
+  const std::string key = "servers/" + std::to_string(random() % kKeys);
+  if (random() % 4 == 0) {
+    Remove(store, key);
+  } else {
+    Write(store, key, "state " + std::to_string(store.revision));
+  }
+}
+
+void Step(Store& store, std::vector<Copy>& copies, std::mt19937& random) {
+  const std::size_t one = random() % kCopies;
+  const std::size_t other = random() % kCopies;
+  switch (random() % 8) {
+    case 0:
+    case 1:
+      ChangeStore(store, random);
+      break;
+    case 2:
+    case 3:
+      ReadStore(copies[random() % kReaders], store);
+      break;
+    case 4:
+    case 5:
+      Pull(copies[one], copies[other]);
+      break;
+    case 6:
+      TakeArrived(copies[one]);
+      break;
+    default:
+      if (random() % 8 == 0) {
+        Compact(store);
+      }
+  }
+}
+
+// Lets every copy reach the store's revision, without further changes.
+void Settle(const Store& store, std::vector<Copy>& copies) {
+  constexpr int kRounds = 100;
+  for (int round = 0; round < kRounds; ++round) {
+    for (std::size_t index = 0; index < kCopies; ++index) {
+      if (index < kReaders) {
+        ReadStore(copies[index], store);
+      } else {
+        Pull(copies[index], copies[index - 1]);
+      }
+      TakeArrived(copies[index]);
+    }
+  }
+}
+
+Values ValuesOf(const std::map<std::string, PublishedItem>& items) {
+  Values values;
+  for (const auto& [key, item] : items) {
+    values[key] = item.value;
+  }
+  return values;
+}
+
+// Guards against an upstream that has left and stays in use on some instances:
+// its change came between two pages of a reader and was not passed on.
+BOOST_AUTO_TEST_CASE(ACopyAtTheNewestRevisionHasAllChanges) {
+  constexpr unsigned kSeeds = 300;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      std::mt19937 random(seed);
+      Store store;
+      std::vector<Copy> copies(kCopies);
+      for (int step = 0; step < kSteps; ++step) {
+        Step(store, copies, random);
+      }
+      Settle(store, copies);
+      for (std::size_t index = 0; index < kCopies; ++index) {
+        const Copy& copy = copies[index];
+        BOOST_TEST_CONTEXT("copy " << index) {
+          BOOST_TEST(copy.state.revision == store.revision);
+          BOOST_TEST((ValuesOf(copy.state.items) == ValuesOf(store.items)));
+          BOOST_TEST((copy.applied == ValuesOf(store.items)));
+        }
+      }
+    }
+  }
+}
+
+// Guards against the same fault for an upstream whose entry was removed between
+// two pages: the reader never knew it, its peers still do.
+BOOST_AUTO_TEST_CASE(ARemovalBetweenTwoPagesReachesPeers) {
+  PublishedState peer;
+  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, 10);
+  PublishedState reader;
+  // The first page is as of revision 10; "b" was removed at 11, before the second.
+  ReplaceState(reader, {{"a", "ready", 1}}, 10);
+  ApplyChanges(reader, {{"b", {}, 11, true}}, 11);
+  ApplyChanges(peer, ChangesSince(reader, peer.revision).value_or(std::vector<PublishedItem>{}),
+               reader.revision);
+  BOOST_TEST(!peer.items.contains("b"));
+}
+
+// Guards against the same fault for an upstream that announced its leaving.
+BOOST_AUTO_TEST_CASE(AChangeBetweenTwoPagesReachesPeers) {
+  PublishedState peer;
+  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, 10);
+  PublishedState reader;
+  ReplaceState(reader, {{"a", "ready", 1}, {"b", "draining", 11}}, 10);
+  ApplyChanges(reader, {{"b", "draining", 11}}, 11);
+  ApplyChanges(peer, ChangesSince(reader, peer.revision).value_or(std::vector<PublishedItem>{}),
+               reader.revision);
+  BOOST_TEST(peer.items.at("b").value == "draining");
+}
+
+}  // namespace
+}  // namespace geraniumspread::dispatch
