Report only those removals that a whole state really makes

When a state read in pages lacks an item that the copy has from a later revision, ReplaceState reported it as removed but kept it: the table of upstreams, built from the reports, and the copy differed until the entry's next change.

The removal itself has a later revision than the pages and comes with the next changes, so nothing is reported before.

--- a/src/dispatch/internal/published_state.cc
+++ b/src/dispatch/internal/published_state.cc
@@ -41,7 +41,10 @@
                                         std::uint64_t revision) {
   std::vector<PublishedItem> applied;
   for (PublishedItem& change : changes) {
-    if (change.revision <= state.revision || !ApplyItem(state, change)) {
+    if (change.revision <= state.revision) {
+      continue;
+    }
+    if (!ApplyItem(state, change)) {
       continue;
     }
     KeepRecent(state, change);
@@ -71,9 +74,10 @@
       changes.push_back({key, {}, revision, true});
     }
   }
-  for (const PublishedItem& change : changes) {
-    ApplyItem(state, change);
-  }
+  // An item that is newer than the pages and missing there was removed after their
+  // revision; that change is still to come.
+  std::erase_if(changes,
+                [&state](const PublishedItem& change) { return !ApplyItem(state, change); });
   state.recent.clear();
   state.recent_after = revision;
   state.revision = revision;
