Pass changes on that came between two pages of a reader

What callers and upstreams saw: requests went on to an upstream that had said that it was leaving, long after the time that the deployment allows.

Cause: a reader that reads all entries in pages counts as of the first page's revision, but the later pages hold newer changes. When its next call to the store brought these again, ApplyChanges found them known and did not keep them for peers. A peer at the pages' revision was then given the newer revision without them, counted as complete, and kept the old entry until the next change of that key. The class of fault: a delta that is derived from what changed here, where it has to be derived from the revision that the receiver has.

Why it works: each change above the copy's revision is kept for peers, whether it was known or not, so changes since a revision are whole for every receiver at it.

Ruled out so far: lag alone (the copies are at the newest revision).

--- a/src/dispatch/internal/published_state.cc
+++ b/src/dispatch/internal/published_state.cc
@@ -44,11 +44,11 @@
     if (change.revision <= state.revision) {
       continue;
     }
-    if (!ApplyItem(state, change)) {
-      continue;
-    }
+    // Pages may have had this change already. Peers at the pages' revision lack it.
     KeepRecent(state, change);
-    applied.push_back(std::move(change));
+    if (ApplyItem(state, change)) {
+      applied.push_back(std::move(change));
+    }
   }
   state.revision = std::max(state.revision, revision);
   return applied;
