Keep the log's budget for changes after a whole state

While tracing the incident in the logs of instances that had just started, the lines that mattered were missing: 145 lines of upstreams that were merely added used up the budget of the first second, and the lines of upstreams that left right after were dropped (27 + 3 + 3 + 3 lines on one instance). So a missed change and a dropped line could not be told apart.

A batch of more than 32 changes now has one line with its counts; upstreams that were not merely added keep their own. The line of a listing names the start of the process, which tells a restart from a late write.

edge_log_test: 100 upstreams at once had 100 lines before, one now.

--- a/src/edge/internal/published_feed.cc
+++ b/src/edge/internal/published_feed.cc
@@ -8,6 +8,16 @@
 using observability::LogEvent;
 using observability::LogLevel;
 
+// More changes than this come with a whole state; a line for each upstream would
+// use up the log's budget and push out the changes that follow.
+constexpr std::size_t kMaxLoggedSingly = 32;
+
+// Changes that are applied together.
+struct Batch {
+  bool is_large = false;
+  std::size_t upstreams_added = 0;
+};
+
 std::string_view ToString(dispatch::ListingChange change) {
   switch (change) {
     case dispatch::ListingChange::kNone:
@@ -33,12 +43,18 @@
   return result;
 }
 
-void Apply(EdgeState& /*edge*/, const dispatch::PublishedItem& item, const IgnoredItem& ignored) {
+void Apply(EdgeState& /*edge*/,
+           Batch& /*batch*/,
+           const dispatch::PublishedItem& item,
+           const IgnoredItem& ignored) {
   LogEvent(LogLevel::kWarn, "published_item_ignored",
            {{"key", item.key}, {"revision", item.revision}, {"reason", ignored.reason}});
 }
 
-void Apply(EdgeState& edge, const dispatch::PublishedItem& item, dispatch::RoutingConfig config) {
+void Apply(EdgeState& edge,
+           Batch& /*batch*/,
+           const dispatch::PublishedItem& item,
+           dispatch::RoutingConfig config) {
   const std::uint64_t previous = edge.config ? edge.config->version : 0;
   if (config.version < previous) {
     LogEvent(LogLevel::kError, "config_version_went_back",
@@ -58,22 +74,29 @@
 }
 
 void Apply(EdgeState& edge,
+           Batch& batch,
            const dispatch::PublishedItem& item,
            const dispatch::UpstreamListing& listing) {
   const auto change = dispatch::ApplyListing(edge.upstreams, listing, RuntimeClock::now());
-  LogEvent(LogLevel::kInfo, "upstream_listed",
+  const bool is_plain = change == dispatch::ListingChange::kAdded && !listing.draining;
+  batch.upstreams_added += is_plain ? 1 : 0;
+  LogEvent(batch.is_large && is_plain ? LogLevel::kDebug : LogLevel::kInfo, "upstream_listed",
            {{"upstream", listing.id},
             {"change", ToString(change)},
             {"service", listing.service},
             {"address", listing.address},
             {"failure_domain", listing.failure_domain},
             {"draining", listing.draining},
+            {"started_at_ms", listing.started_at_ms},
             {"cold_left_ms",
              std::chrono::duration_cast<std::chrono::milliseconds>(listing.cold_left).count()},
             {"revision", item.revision}});
 }
 
-void Apply(EdgeState& edge, const dispatch::PublishedItem& item, const UpstreamRemoved& removed) {
+void Apply(EdgeState& edge,
+           Batch& /*batch*/,
+           const dispatch::PublishedItem& item,
+           const UpstreamRemoved& removed) {
   const auto row = edge.upstreams.rows.find(removed.id);
   if (row == edge.upstreams.rows.end()) {
     return;
@@ -90,7 +113,10 @@
            {{"upstream", removed.id}, {"revision", item.revision}});
 }
 
-void Apply(EdgeState& edge, const dispatch::PublishedItem& item, const DomainInService& domain) {
+void Apply(EdgeState& edge,
+           Batch& /*batch*/,
+           const dispatch::PublishedItem& item,
+           const DomainInService& domain) {
   if (domain.in_service) {
     edge.upstreams.domains_out.erase(domain.failure_domain);
   } else {
@@ -105,9 +131,18 @@
 }  // namespace
 
 void ApplyPublished(EdgeState& edge, const std::vector<dispatch::PublishedItem>& changes) {
+  Batch batch{changes.size() > kMaxLoggedSingly};
   for (const dispatch::PublishedItem& item : changes) {
-    std::visit([&](auto&& change) { Apply(edge, item, std::forward<decltype(change)>(change)); },
-               edge.codec.decode_item(item));
+    std::visit(
+        [&](auto&& change) { Apply(edge, batch, item, std::forward<decltype(change)>(change)); },
+        edge.codec.decode_item(item));
+  }
+  if (batch.is_large) {
+    LogEvent(LogLevel::kInfo, "published_state_applied",
+             {{"changes", changes.size()},
+              {"upstreams_added", batch.upstreams_added},
+              {"upstreams", edge.upstreams.rows.size()},
+              {"revision", edge.published.revision}});
   }
 }
 
--- a/src/edge/tests/edge_log_test.cc
+++ b/src/edge/tests/edge_log_test.cc
@@ -167,6 +167,23 @@
   }
 }
 
+// Guards against a start that uses up the log's budget, so that the lines of the
+// changes after it are dropped.
+BOOST_AUTO_TEST_CASE(AWholeStateHasOneLineForAllUpstreamsThatWereAdded) {
+  const LogFile log("state");
+  EdgeFixture fixture;
+  std::vector<dispatch::PublishedItem> changes;
+  for (int upstream = 0; upstream < 100; ++upstream) {
+    changes.push_back({"many" + std::to_string(upstream), "127.0.0.1:1", ++fixture.revision});
+  }
+  fixture.edge->OnPublishedChanges(std::move(changes), fixture.revision);
+  BOOST_TEST(log.Lines("published_state_applied").size() == 1U);
+  BOOST_TEST(log.Lines("upstream_listed").empty());
+  fixture.edge->OnPublishedChanges({{"many7", "", fixture.revision + 1, true}},
+                                   fixture.revision + 1);
+  BOOST_TEST(log.Lines("upstream_removed").size() == 1U);
+}
+
 // Guards against keys, prompts and answers in the logs, which many people may read.
 BOOST_AUTO_TEST_CASE(NoLineHoldsAKeyOrContents) {
   const LogFile log("secrets");
