Keep an upstream that announced its leaving out until its process ends

Cause: a listing replaced the one before, so a write that the platform applied late (`platform_lost` with `late`: 1 to 6 s) could show a leaving upstream as ready again, and a removed one as listed. Each listing of the same process was taken as newer than the one before.

Leaving is now a statement of a process, told by its start: it holds over later listings, and for five minutes over the removal of the entry. A new process under the same id starts without it. A process whose start is not published is not remembered past its removal, as the next one could not be told from it.

With the mechanism off (a listing sets the statement) three of the new cases fail.

--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -16,6 +16,9 @@
 constexpr std::uint32_t kMaxAvoidanceDoublings = 4;
 // The platform drops the entry of a dead process after some missed heartbeats.
 constexpr Duration kReplacedAvoidance = std::chrono::seconds(5);
+// An upstream that left may be listed again by a write that was applied late; its
+// process has ended by then.
+constexpr Duration kDroppedMemory = std::chrono::minutes(5);
 // Weight of one outcome in the failure rate.
 constexpr double kOutcomeWeight = 0.2;
 // The failure rate halves in this time without attempts, so that an upstream
@@ -40,6 +43,25 @@
   }
 }
 
+ProcessStatements StatementsOf(UpstreamTable& table, const UpstreamListing& listing) {
+  ProcessStatements said;
+  if (const auto known = table.dropped.find({listing.id, listing.started_at_ms});
+      known != table.dropped.end()) {
+    said = known->second.said;
+    table.dropped.erase(known);
+  }
+  said.leaving = said.leaving || listing.draining;
+  return said;
+}
+
+// Without its start a process can't be told from the next one under the same id.
+void RememberDropped(UpstreamTable& table, const Upstream& upstream, TimePoint now) {
+  const UpstreamListing& listing = upstream.listing;
+  if (upstream.said.leaving && listing.started_at_ms != 0) {
+    table.dropped[{listing.id, listing.started_at_ms}] = {upstream.said, now};
+  }
+}
+
 void Rate(UpstreamHealth& health, double outcome, TimePoint now) {
   health.failure_rate = FailureRate(health, now) * (1 - kOutcomeWeight) + outcome * kOutcomeWeight;
   health.rated_at = now;
@@ -59,14 +81,16 @@
       const bool changed = row->listing.draining != listing.draining || row->removal_at ||
                            listing.cold_left.count() > 0;
       row->listing = listing;
+      row->said.leaving = row->said.leaving || listing.draining;
       row->removal_at.reset();
       row->cold_until = now + listing.cold_left;
       return changed ? ListingChange::kUpdated : ListingChange::kNone;
     }
-    RemoveUpstream(table, listing.id);
+    RemoveUpstream(table, listing.id, now);
   }
   auto row = std::make_shared<Upstream>();
   row->listing = listing;
+  row->said = StatementsOf(table, listing);
   row->id_hash = StableHash(listing.id);
   row->listed_at = now;
   row->cold_until = now + listing.cold_left;
@@ -75,13 +99,14 @@
   return is_restart ? ListingChange::kRestarted : ListingChange::kAdded;
 }
 
-void RemoveUpstream(UpstreamTable& table, std::string_view id) {
+void RemoveUpstream(UpstreamTable& table, std::string_view id, TimePoint now) {
   const auto known = table.rows.find(std::string(id));
   if (known == table.rows.end()) {
     return;
   }
   const UpstreamRow row = known->second;
   row->listed = false;
+  RememberDropped(table, *row, now);
   table.rows.erase(known);
   RemoveFromService(table, row);
 }
@@ -101,8 +126,11 @@
     }
   }
   for (const std::string& id : due) {
-    RemoveUpstream(table, id);
+    RemoveUpstream(table, id, now);
   }
+  std::erase_if(table.dropped, [now](const auto& entry) {
+    return entry.second.dropped_at + kDroppedMemory < now;
+  });
   return due;
 }
 
@@ -115,7 +143,7 @@
 }
 
 bool TakesNewWork(const UpstreamTable& table, const Upstream& upstream) {
-  return upstream.listed && !upstream.listing.draining &&
+  return upstream.listed && !upstream.said.leaving &&
          !table.domains_out.contains(upstream.listing.failure_domain);
 }
 
--- a/src/dispatch/tests/selection_test.cc
+++ b/src/dispatch/tests/selection_test.cc
@@ -155,7 +155,7 @@
   UpstreamListing draining = test::Listing("a0", "a");
   draining.draining = true;
   ApplyListing(table, draining, kStart);
-  RemoveUpstream(table, "b0");
+  RemoveUpstream(table, "b0", test::kStart);
   table.domains_out.insert("c");
   const Selection selection =
       SelectUpstream(table, SelectionSettings{}, EngineQuestion(ChatPrompt(1, 1)));
--- a/src/dispatch/tests/upstream_table_test.cc
+++ b/src/dispatch/tests/upstream_table_test.cc
@@ -30,11 +30,69 @@
   ApplyListing(table, Listing("a", "x"), kStart);
   {
     const RunningRequest running(table.rows.at("a"), 10);
-    RemoveUpstream(table, "a");
+    RemoveUpstream(table, "a", kStart);
   }
   BOOST_TEST(table.by_service.empty());
 }
 
+UpstreamListing LeavingListing(const std::string& id) {
+  UpstreamListing listing = Listing(id, "x");
+  listing.draining = true;
+  return listing;
+}
+
+// Guards against requests to an upstream that is leaving: the platform may apply
+// an older write of the same process after the one that announced it.
+BOOST_AUTO_TEST_CASE(ALateWriteDoesNotUndoTheLeaving) {
+  UpstreamTable table;
+  ApplyListing(table, Listing("a", "x"), kStart);
+  ApplyListing(table, LeavingListing("a"), kStart);
+  ApplyListing(table, Listing("a", "x"), kStart + 2s);
+  BOOST_TEST(!TakesNewWork(table, *table.rows.at("a")));
+}
+
+// The same after its entry was removed and a late write listed it again.
+BOOST_AUTO_TEST_CASE(AProcessThatLeftStaysOutWhenItIsListedAgain) {
+  UpstreamTable table;
+  ApplyListing(table, LeavingListing("a"), kStart);
+  RemoveUpstream(table, "a", kStart + 1s);
+  ApplyListing(table, Listing("a", "x"), kStart + 2s);
+  BOOST_TEST(!TakesNewWork(table, *table.rows.at("a")));
+  // Twice, as the memory moves to the row and back.
+  RemoveUpstream(table, "a", kStart + 3s);
+  ApplyListing(table, Listing("a", "x"), kStart + 4s);
+  BOOST_TEST(!TakesNewWork(table, *table.rows.at("a")));
+}
+
+// Guards against an upstream that is left out after it was started again.
+BOOST_AUTO_TEST_CASE(ANewProcessUnderTheSameIdTakesNewWork) {
+  UpstreamTable table;
+  ApplyListing(table, LeavingListing("a"), kStart);
+  UpstreamListing restarted = Listing("a", "x");
+  restarted.started_at_ms = 2;
+  ApplyListing(table, restarted, kStart + 1s);
+  BOOST_TEST(TakesNewWork(table, *table.rows.at("a")));
+  // A late write of the old process changes nothing for the old one, nor does the
+  // new one's next write for the new one.
+  ApplyListing(table, Listing("a", "x"), kStart + 2s);
+  BOOST_TEST(!TakesNewWork(table, *table.rows.at("a")));
+  ApplyListing(table, restarted, kStart + 3s);
+  BOOST_TEST(TakesNewWork(table, *table.rows.at("a")));
+}
+
+// Guards against memory that grows with each upstream that ever left.
+BOOST_AUTO_TEST_CASE(ProcessesThatLeftAreForgottenInTheEnd) {
+  UpstreamTable table;
+  for (int upstream = 0; upstream < 1000; ++upstream) {
+    const std::string id = std::to_string(upstream);
+    ApplyListing(table, LeavingListing(id), kStart);
+    RemoveUpstream(table, id, kStart);
+  }
+  BOOST_TEST(table.dropped.size() == 1000U);
+  ExpireRemovals(table, kStart + 1h);
+  BOOST_TEST(table.dropped.empty());
+}
+
 // Pattern: entries expire while the store is away and come back with it.
 BOOST_AUTO_TEST_CASE(AHeldRemovalIsUndoneByANewListing) {
   UpstreamTable table;
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -2,12 +2,14 @@
 #define DISPATCH_UPSTREAM_TABLE_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "dispatch/dispatch_types.h"
@@ -47,8 +49,16 @@
   std::uint32_t own_running = 0;
 };
 
+// What a process of an upstream said of itself. It holds until that process ends,
+// whatever a later listing says: the platform may apply an older write late.
+struct ProcessStatements {
+  // It is about to stop and takes no new requests.
+  bool leaving = false;
+};
+
 struct Upstream {
   UpstreamListing listing;
+  ProcessStatements said;
   // StableHash of the id.
   std::uint64_t id_hash = 0;
   TimePoint listed_at;
@@ -76,8 +86,16 @@
 
 using UpstreamRow = std::shared_ptr<Upstream>;
 
+// A process whose row was dropped and may be listed again.
+struct DroppedProcess {
+  ProcessStatements said;
+  TimePoint dropped_at;
+};
+
 struct UpstreamTable {
   std::unordered_map<std::string, UpstreamRow> rows;
+  // By id and start of the process.
+  std::map<std::pair<std::string, std::int64_t>, DroppedProcess> dropped;
   // By service, ordered by id, so that all instances walk them alike.
   std::unordered_map<std::string, std::vector<UpstreamRow>> by_service;
   std::set<std::string, std::less<>> domains_out;
@@ -93,16 +111,17 @@
 // process kept and held.
 ListingChange ApplyListing(UpstreamTable& table, const UpstreamListing& listing, TimePoint now);
 // Drops the row at once.
-void RemoveUpstream(UpstreamTable& table, std::string_view id);
+void RemoveUpstream(UpstreamTable& table, std::string_view id, TimePoint now);
 // Keeps the row in use until `removal_at`, for a removal that may be undone.
 void HoldRemoval(UpstreamTable& table, std::string_view id, TimePoint removal_at);
-// Drops rows whose held removal is due. Returns their ids.
+// Drops rows whose held removal is due, and what is remembered of processes that
+// were dropped long ago. Returns the ids of the rows.
 std::vector<std::string> ExpireRemovals(UpstreamTable& table, TimePoint now);
 
 bool IsCold(const Upstream& upstream, TimePoint now);
 // Whether its failure domain seems cut off from this instance.
 bool IsBehindCut(const UpstreamTable& table, const Upstream& upstream);
-// False while draining, removed, or in a failure domain that is out of service.
+// False while leaving, removed, or in a failure domain that is out of service.
 bool TakesNewWork(const UpstreamTable& table, const Upstream& upstream);
 // Requests of all instances at the upstream, by the newest of report and peers.
 std::uint32_t EstimatedRunning(const UpstreamTable& table, const Upstream& upstream, TimePoint now);
--- a/src/edge/internal/published_feed.cc
+++ b/src/edge/internal/published_feed.cc
@@ -32,6 +32,11 @@
   return "unchanged";
 }
 
+bool TakesNewWork(const EdgeState& edge, const std::string& id) {
+  const auto row = edge.upstreams.rows.find(id);
+  return row != edge.upstreams.rows.end() && dispatch::TakesNewWork(edge.upstreams, *row->second);
+}
+
 transport::ServerLimits LimitsOf(const dispatch::CallerLimits& limits) {
   // A caller that writes its body slowly gets this beyond the header's time.
   constexpr Duration kBodyTime = std::chrono::seconds(10);
@@ -87,6 +92,7 @@
             {"address", listing.address},
             {"failure_domain", listing.failure_domain},
             {"draining", listing.draining},
+            {"takes_new_work", TakesNewWork(edge, listing.id)},
             {"started_at_ms", listing.started_at_ms},
             {"cold_left_ms",
              std::chrono::duration_cast<std::chrono::milliseconds>(listing.cold_left).count()},
@@ -101,13 +107,13 @@
   if (row == edge.upstreams.rows.end()) {
     return;
   }
-  const auto held_until = row->second->listing.draining
+  const auto held_until = row->second->said.leaving
                               ? std::nullopt
                               : dispatch::HoldRemovalUntil(edge.store_outage, RuntimeClock::now());
   if (held_until) {
     dispatch::HoldRemoval(edge.upstreams, removed.id, *held_until);
   } else {
-    dispatch::RemoveUpstream(edge.upstreams, removed.id);
+    dispatch::RemoveUpstream(edge.upstreams, removed.id, RuntimeClock::now());
   }
   LogEvent(LogLevel::kInfo, held_until ? "upstream_removal_held" : "upstream_removed",
            {{"upstream", removed.id}, {"revision", item.revision}});
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -44,7 +44,7 @@
           {"address", upstream.listing.address},
           {"failure_domain", upstream.listing.failure_domain},
           {"takes_new_work", dispatch::TakesNewWork(edge.upstreams, upstream)},
-          {"draining", upstream.listing.draining},
+          {"leaving", upstream.said.leaving},
           {"removal_held", upstream.removal_at.has_value()},
           {"cold_left_ms", MillisecondsUntil(upstream.cold_until, now)},
           {"avoided_ms", MillisecondsUntil(upstream.health.avoid_until, now)},
