End the process after its log instead of joining the log library's threads

What operators saw: every planned stop ended in a kill. An instance logged `stopped`, and started again only after SIGKILL at the end of the grace time.

Cause: log4cplus starts its thread pool in a static initialiser while the library is loaded, and joins it in a static destructor. Marks in a scratch copy: `io.run` and `Run` return, `Logger::shutdown` returns, `deinitialize` never does; after `setThreadPoolSize(1)` its four threads are still there 0.3 s later, so they are never woken. A thread that the program itself starts is woken and joined at once, at the start and at the end.

Ruled out: an open connection (none open at `stopped`), threads in general, the log's descriptor (all lines are out).

The log is closed in a defined place, after the edge is destroyed, with a short wait for the reader of the last lines; then the process ends by quick_exit.

--- a/src/observability/internal/log.cc
+++ b/src/observability/internal/log.cc
@@ -9,6 +9,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <memory>
 #include <string>
 
@@ -26,6 +28,8 @@
 
 // Failed and refused requests are logged as warnings and keep their lines longest.
 constexpr double kPartForWarnings = 0.5;
+// How long the end of the process waits for the reader of its last lines.
+constexpr std::chrono::milliseconds kFinalWait{100};
 
 // Writes lines to a descriptor that may be a full pipe. A budget in bytes bounds
 // the volume under load.
@@ -42,7 +46,13 @@
   BoundedOutputAppender& operator=(const BoundedOutputAppender&) = delete;
   ~BoundedOutputAppender() override { this->destructorImpl(); }
 
-  void close() override { this->closed = true; }
+  void close() override {
+    this->closed = true;
+    pollfd writable{this->descriptor, POLLOUT, 0};
+    if (!this->Flush() && poll(&writable, 1, static_cast<int>(kFinalWait.count())) > 0) {
+      this->Flush();
+    }
+  }
 
  protected:
   void append(const log4cplus::spi::InternalLoggingEvent& event) override {
@@ -197,4 +207,17 @@
   state.logger.forcedLog(ToLibraryLevel(level), boost::json::serialize(line));
 }
 
+void CloseLog() {
+  LogState& state = State();
+  if (state.initializer) {
+    log4cplus::Logger::shutdown();
+    state.logger.setLogLevel(log4cplus::OFF_LOG_LEVEL);
+  }
+}
+
+void ExitAfterLog(int exit_code) {
+  CloseLog();
+  std::quick_exit(exit_code);
+}
+
 }  // namespace geraniumspread::observability
--- a/src/observability/tests/observability_test.cc
+++ b/src/observability/tests/observability_test.cc
@@ -1,12 +1,17 @@
 #include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <thread>
 
 #include "common/runtime_clock.h"
 #include "observability/log.h"
@@ -182,5 +187,45 @@
   BOOST_TEST(text.find("geranium_first_token_seconds_count 1") != std::string::npos);
 }
 
+// Guards against a planned stop that ends in a kill: a static destructor of a
+// library joined threads that never ended. The last line must be out by then.
+BOOST_AUTO_TEST_CASE(AProcessEndsAfterItsLogThoughADestructorHangs) {
+  std::array<int, 2> ends{};
+  BOOST_REQUIRE(pipe(ends.data()) == 0);
+  const pid_t child = fork();
+  BOOST_REQUIRE(child >= 0);
+  if (child == 0) {
+    dup2(ends[1], STDOUT_FILENO);
+    std::atexit([] {
+      while (true) {
+        pause();
+      }
+    });
+    InitializeLog({.instance = "edge-1", .to_standard_output = true});
+    LogEvent(LogLevel::kInfo, "stopped");
+    ExitAfterLog(7);
+  }
+  close(ends[1]);
+  int status = 0;
+  pid_t ended = 0;
+  constexpr int kTries = 100;
+  for (int tries = 0; tries < kTries && ended == 0; ++tries) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    ended = waitpid(child, &status, WNOHANG);
+  }
+  if (ended == 0) {
+    kill(child, SIGKILL);
+    waitpid(child, &status, 0);
+  }
+  BOOST_TEST(ended == child);
+  BOOST_TEST((WIFEXITED(status) && WEXITSTATUS(status) == 7));
+  std::array<char, 1024> text{};
+  const ssize_t count = read(ends[0], text.data(), text.size());
+  close(ends[0]);
+  BOOST_TEST_REQUIRE(count > 0);
+  BOOST_TEST(std::string_view(text.data(), static_cast<std::size_t>(count)).find("stopped") !=
+             std::string_view::npos);
+}
+
 }  // namespace
 }  // namespace geraniumspread::observability
