Leave an upstream that says in an answer that it is leaving

The header of an answer's head, of any status, sets the statement of the process that the list's state sets too; so it holds over later listings, removals, compaction and copies of peers, and ends with a new process. An answer of another process at the address (421) says nothing. It is not passed on in digests: the promise binds the instance that saw it, and the list tells the others (0 bytes).

--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -102,6 +102,8 @@
   bool wrong_upstream = false;
   // The body was changed on its way.
   bool is_encoded = false;
+  // The upstream is about to stop.
+  bool is_leaving = false;
   std::optional<std::uint32_t> running;
   std::optional<std::uint32_t> waiting;
   std::optional<Duration> cold_left;
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -50,6 +50,15 @@
   if (answer.running && answer.waiting) {
     upstream.report = dispatch::LoadReport{*answer.running, *answer.waiting, now, upstream.running};
   }
+  // An answer from another process says nothing of this one.
+  if (answer.is_leaving && !answer.wrong_upstream && !upstream.said.leaving) {
+    upstream.said.leaving = true;
+    LogEvent(LogLevel::kInfo, "upstream_leaving",
+             {{"upstream", upstream.listing.id},
+              {"started_at_ms", upstream.listing.started_at_ms},
+              {"request_id", run.request.id},
+              {"published_revision", run.edge->published.revision}});
+  }
   if (answer.cold_left) {
     upstream.cold_until = now + *answer.cold_left;
     LogEvent(LogLevel::kInfo, "upstream_cold",
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -66,6 +66,7 @@
   answer.is_sealed = !FindHeader(response.headers, "X-Seal").empty();
   answer.not_run = !FindHeader(response.headers, "X-Not-Run").empty();
   answer.wrong_upstream = response.status == 421;
+  answer.is_leaving = !FindHeader(response.headers, "X-Leaving").empty();
   answer.caller_headers = response.headers;
   return answer;
 }
@@ -125,6 +126,7 @@
   listing.address = item.value;
   listing.failure_domain = "a";
   listing.slots = 8;
+  listing.started_at_ms = 1;
   return listing;
 }
 
@@ -167,6 +169,11 @@
   return {"HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
 }
 
+Reply With(Reply reply, const std::string& header) {
+  reply.bytes.insert(reply.bytes.find("X-Id:"), header + "\r\n");
+  return reply;
+}
+
 Reply Events(int first, int last, bool whole) {
   std::string bytes =
       "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -29,6 +29,8 @@
 
 Reply Sealed(const std::string& body, int status = 200);
 Reply NotRun();
+// Adds a header to the answer.
+Reply With(Reply reply, const std::string& header);
 // A chunked stream of the events `first` to `last`; it is whole when it ends.
 Reply Events(int first, int last, bool whole = true);
 Reply Silence();
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -384,5 +384,37 @@
   BOOST_TEST(upstream.requests.empty());
 }
 
+// Guards against requests to an upstream that said in an answer that it is leaving,
+// before any list says so, and after a list shows it as ready again.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatSaysItIsLeavingGetsNoFurtherRequest) {
+  for (const auto& [target, reply] :
+       {std::pair("/order/1", Sealed("whole")), std::pair("/order/1", Sealed("failed", 500)),
+        std::pair("/order/1", NotRun()), std::pair("/stream/1", Events(0, 2)),
+        std::pair("/stream/1", Events(0, 2, false))}) {
+    EdgeFixture fixture;
+    RawUpstream& upstream = fixture.AddUpstream({With(reply, "X-Leaving: 1")});
+    std::ignore = fixture.Call(target);
+    BOOST_TEST(upstream.requests.size() == 1U);
+    BOOST_TEST(fixture.Call("/order/2").value().status == 503);
+    fixture.edge->OnPublishedChanges({{"u1", upstream.Address(), fixture.revision + 1}},
+                                     fixture.revision + 1);
+    BOOST_TEST(fixture.Call("/order/3").value().status == 503);
+    BOOST_TEST(upstream.requests.size() == 1U);
+  }
+}
+
+// Guards against a sound upstream that is left out since another process, at its
+// address, said that it is leaving.
+BOOST_AUTO_TEST_CASE(AnAnswerOfAnotherProcessTellsNothingOfTheUpstream) {
+  EdgeFixture fixture;
+  RawUpstream& upstream =
+      fixture.AddUpstream({{"HTTP/1.1 421 Misdirected\r\nX-Leaving: 1\r\nX-Id: "
+                            "{id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+                           Sealed("whole")});
+  BOOST_TEST(fixture.Call("/order/1").value().status == 503);
+  BOOST_TEST(fixture.Call("/order/2").value().status == 200);
+  BOOST_TEST(upstream.requests.size() == 2U);
+}
+
 }  // namespace
 }  // namespace geraniumspread::edge
