Leave an upstream alone for the pause that it asks for

The wish is a statement of the upstream's process, like its leaving: it survives the removal and return of its entry and ends with the process or its time. Until then it is no candidate, not even as a last resort; requests go elsewhere. Where every upstream that takes new work wants a pause, the request is refused at once with the time of the first end, not with the usual 0.3 s. It is no verdict on health, so it raises no failure rate, and other instances are not told. The upstream's own Retry-After does not reach the caller, since another upstream may take the request sooner.

No trial request is sent within the pause, though one is allowed: it would only cost a budgeted attempt. With the statement switched off the case of edge_test fails.

--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -169,6 +169,8 @@
       return "no_upstream_in_service";
     case SelectionFailure::kAllTried:
       return "all_upstreams_tried";
+    case SelectionFailure::kAllWantPause:
+      return "all_upstreams_want_a_pause";
     case SelectionFailure::kAllCold:
       return "cold_limit_reached";
     case SelectionFailure::kAllUnreachable:
@@ -240,6 +242,8 @@
                         UncachedTokens(row->memory, question.prompt)};
     if (Contains(question.tried, row->listing.id)) {
       reached(SelectionFailure::kAllTried);
+    } else if (WantsPause(*row, question.now)) {
+      reached(SelectionFailure::kAllWantPause);
     } else if (!ColdLimitAllows(settings, question, *row)) {
       reached(SelectionFailure::kAllCold);
     } else if (question.now < row->health.avoid_until) {
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -57,7 +57,7 @@
 // Without its start a process can't be told from the next one under the same id.
 void RememberDropped(UpstreamTable& table, const Upstream& upstream, TimePoint now) {
   const UpstreamListing& listing = upstream.listing;
-  if (upstream.said.leaving && listing.started_at_ms != 0) {
+  if ((upstream.said.leaving || WantsPause(upstream, now)) && listing.started_at_ms != 0) {
     table.dropped[{listing.id, listing.started_at_ms}] = {upstream.said, now};
   }
 }
@@ -147,6 +147,30 @@
          !table.domains_out.contains(upstream.listing.failure_domain);
 }
 
+bool WantsPause(const Upstream& upstream, TimePoint now) {
+  return now < upstream.said.wants_none_until;
+}
+
+std::optional<TimePoint> EndOfAllPauses(const UpstreamTable& table,
+                                        std::string_view service,
+                                        TimePoint now) {
+  const auto rows = table.by_service.find(std::string(service));
+  if (rows == table.by_service.end()) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> first;
+  for (const UpstreamRow& row : rows->second) {
+    if (!TakesNewWork(table, *row)) {
+      continue;
+    }
+    if (!WantsPause(*row, now)) {
+      return std::nullopt;
+    }
+    first = std::min(first.value_or(row->said.wants_none_until), row->said.wants_none_until);
+  }
+  return first;
+}
+
 std::uint32_t EstimatedRunning(const UpstreamTable& table,
                                const Upstream& upstream,
                                TimePoint now) {
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -59,6 +59,7 @@
   kNoneListed,
   kNoneInService,
   kAllTried,
+  kAllWantPause,
   kAllCold,
   kAllUnreachable,
   kAllFull,
--- a/src/dispatch/tests/selection_test.cc
+++ b/src/dispatch/tests/selection_test.cc
@@ -148,6 +148,21 @@
   BOOST_TEST(Chosen(table, EngineQuestion(prompt)) == "c0");
 }
 
+// Guards against requests to an upstream that asked for a pause, also as a last
+// resort, and against one that stays out after its end.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatWantsAPauseIsNoCandidate) {
+  UpstreamTable table = MakeTable(1);
+  SelectionQuestion question = EngineQuestion(ChatPrompt(1, 1));
+  for (const auto& [id, row] : table.rows) {
+    row->said.wants_none_until = kStart + 2s;
+  }
+  const Selection none = SelectUpstream(table, SelectionSettings{}, question);
+  BOOST_TEST(none.candidates.empty());
+  BOOST_CHECK(none.failure == SelectionFailure::kAllWantPause);
+  question.now = kStart + 2s;
+  BOOST_TEST(SelectUpstream(table, SelectionSettings{}, question).candidates.size() == 3U);
+}
+
 // Guards against work for an upstream that leaves, was removed, or whose failure
 // domain the operators took out.
 BOOST_AUTO_TEST_CASE(DrainingRemovedAndOutOfServiceUpstreamsGetNothing) {
--- a/src/dispatch/tests/upstream_table_test.cc
+++ b/src/dispatch/tests/upstream_table_test.cc
@@ -80,6 +80,38 @@
   BOOST_TEST(TakesNewWork(table, *table.rows.at("a")));
 }
 
+// Guards against a wish that is forgotten with the entry of its upstream, or that
+// outlives its process or its time.
+BOOST_AUTO_TEST_CASE(APauseHoldsForTheProcessThatAskedForIt) {
+  UpstreamTable table;
+  ApplyListing(table, Listing("a", "x"), kStart);
+  table.rows.at("a")->said.wants_none_until = kStart + 10s;
+  RemoveUpstream(table, "a", kStart + 1s);
+  ApplyListing(table, Listing("a", "x"), kStart + 2s);
+  BOOST_TEST(WantsPause(*table.rows.at("a"), kStart + 10s - 1ns));
+  BOOST_TEST(!WantsPause(*table.rows.at("a"), kStart + 10s));
+  UpstreamListing restarted = Listing("a", "x");
+  restarted.started_at_ms = 2;
+  ApplyListing(table, restarted, kStart + 3s);
+  BOOST_TEST(!WantsPause(*table.rows.at("a"), kStart + 3s));
+}
+
+// Guards against a time to return at which nothing is there, or that is later than
+// the first upstream that takes work again.
+BOOST_AUTO_TEST_CASE(TheFirstPauseToEndIsTheTimeToReturn) {
+  UpstreamTable table;
+  for (const char* id : {"a", "b", "c"}) {
+    ApplyListing(table, Listing(id, "x"), kStart);
+  }
+  table.rows.at("a")->said.wants_none_until = kStart + 5s;
+  table.rows.at("b")->said.wants_none_until = kStart + 2s;
+  BOOST_TEST(!EndOfAllPauses(table, "model", kStart).has_value());
+  table.rows.at("c")->said.leaving = true;
+  BOOST_CHECK(EndOfAllPauses(table, "model", kStart) == kStart + 2s);
+  BOOST_TEST(!EndOfAllPauses(table, "model", kStart + 2s).has_value());
+  BOOST_TEST(!EndOfAllPauses(table, "other", kStart).has_value());
+}
+
 // Guards against memory that grows with each upstream that ever left.
 BOOST_AUTO_TEST_CASE(ProcessesThatLeftAreForgottenInTheEnd) {
   UpstreamTable table;
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -54,6 +54,9 @@
 struct ProcessStatements {
   // It is about to stop and takes no new requests.
   bool leaving = false;
+  // Until then it wants no requests from this instance. That is no verdict on its
+  // health, and other instances may be welcome.
+  TimePoint wants_none_until;
 };
 
 struct Upstream {
@@ -123,6 +126,13 @@
 bool IsBehindCut(const UpstreamTable& table, const Upstream& upstream);
 // False while leaving, removed, or in a failure domain that is out of service.
 bool TakesNewWork(const UpstreamTable& table, const Upstream& upstream);
+// Whether it asked this instance for a pause that is not over.
+bool WantsPause(const Upstream& upstream, TimePoint now);
+// When the first upstream of the service that takes new work ends its pause;
+// nothing when one wants none now, or none takes new work.
+std::optional<TimePoint> EndOfAllPauses(const UpstreamTable& table,
+                                        std::string_view service,
+                                        TimePoint now);
 // Requests of all instances at the upstream, by the newest of report and peers.
 std::uint32_t EstimatedRunning(const UpstreamTable& table, const Upstream& upstream, TimePoint now);
 std::uint64_t EstimatedUnreadTokens(const UpstreamTable& table, const Upstream& upstream);
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -104,6 +104,11 @@
   bool is_encoded = false;
   // The upstream is about to stop.
   bool is_leaving = false;
+  // For how long the upstream, which turned the request away, wants no further one
+  // from this instance.
+  std::optional<Duration> wanted_pause;
+  // It said so in a way that can't be read, or for longer than is taken.
+  std::string_view pause_fault;
   std::optional<std::uint32_t> running;
   std::optional<std::uint32_t> waiting;
   std::optional<Duration> cold_left;
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -45,13 +45,13 @@
   return timeouts;
 }
 
-void TakeReport(RequestRun& run, dispatch::Upstream& upstream, const UpstreamAnswer& answer) {
+// What the upstream says of itself. An answer of another process says nothing of it.
+void TakeStatements(RequestRun& run, dispatch::Upstream& upstream, const UpstreamAnswer& answer) {
   const TimePoint now = RuntimeClock::now();
-  if (answer.running && answer.waiting) {
-    upstream.report = dispatch::LoadReport{*answer.running, *answer.waiting, now, upstream.running};
+  if (answer.wrong_upstream) {
+    return;
   }
-  // An answer from another process says nothing of this one.
-  if (answer.is_leaving && !answer.wrong_upstream && !upstream.said.leaving) {
+  if (answer.is_leaving && !upstream.said.leaving) {
     upstream.said.leaving = true;
     LogEvent(LogLevel::kInfo, "upstream_leaving",
              {{"upstream", upstream.listing.id},
@@ -59,6 +59,24 @@
               {"request_id", run.request.id},
               {"published_revision", run.edge->published.revision}});
   }
+  if (answer.wanted_pause) {
+    upstream.said.wants_none_until = now + *answer.wanted_pause;
+  }
+  if (answer.wanted_pause || !answer.pause_fault.empty()) {
+    LogEvent(LogLevel::kInfo, "upstream_wants_pause",
+             {{"upstream", upstream.listing.id},
+              {"started_at_ms", upstream.listing.started_at_ms},
+              {"request_id", run.request.id},
+              {"pause_ms", Milliseconds(answer.wanted_pause.value_or(Duration{0}))},
+              {"fault", answer.pause_fault}});
+  }
+}
+
+void TakeReport(RequestRun& run, dispatch::Upstream& upstream, const UpstreamAnswer& answer) {
+  const TimePoint now = RuntimeClock::now();
+  if (answer.running && answer.waiting) {
+    upstream.report = dispatch::LoadReport{*answer.running, *answer.waiting, now, upstream.running};
+  }
   if (answer.cold_left) {
     upstream.cold_until = now + *answer.cold_left;
     LogEvent(LogLevel::kInfo, "upstream_cold",
@@ -191,7 +209,10 @@
     co_return attempt;
   }
   if (answer.not_run) {
-    dispatch::NoteAttemptFailed(upstream.health, now);
+    // One that asks for a pause is left alone for that time and may be sound.
+    if (!answer.wanted_pause) {
+      dispatch::NoteAttemptFailed(upstream.health, now);
+    }
     attempt.result = AttemptResult::kRejected;
     attempt.reason = "rejected_not_run";
     co_return attempt;
@@ -310,6 +331,7 @@
     co_return attempt;
   }
   upstream.heard_at = RuntimeClock::now();
+  TakeStatements(run, upstream, answer);
   TakeReport(run, upstream, answer);
   const bool is_success = head.value().status >= 200 && head.value().status < 300;
   Attempt attempt;
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -158,6 +158,13 @@
   }
 }
 
+// When the caller may come back after a refusal at the upstreams.
+Duration RetryAfter(const RequestRun& run) {
+  const TimePoint now = RuntimeClock::now();
+  const auto end = dispatch::EndOfAllPauses(run.edge->upstreams, run.service.name, now);
+  return std::max(kBusyRetryAfter, end.value_or(now) - now);
+}
+
 Refusal FinalRefusal(const RequestRun& run, std::string_view code, std::string reason) {
   if (run.stopped == StopReason::kTimeUp) {
     const bool not_run = !run.may_have_run && run.sends == 0;
@@ -167,7 +174,7 @@
   if (run.may_have_run) {
     return {kStatusBadGateway, code, std::move(reason), RunState::kUnknown};
   }
-  return {kStatusUnavailable, code, std::move(reason), RunState::kNotRun, kBusyRetryAfter};
+  return {kStatusUnavailable, code, std::move(reason), RunState::kNotRun, RetryAfter(run)};
 }
 
 // Runs attempts until one delivers or no other may be made.
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -45,6 +45,7 @@
           {"failure_domain", upstream.listing.failure_domain},
           {"takes_new_work", dispatch::TakesNewWork(edge.upstreams, upstream)},
           {"leaving", upstream.said.leaving},
+          {"wants_pause_ms", MillisecondsUntil(upstream.said.wants_none_until, now)},
           {"removal_held", upstream.removal_at.has_value()},
           {"cold_left_ms", MillisecondsUntil(upstream.cold_until, now)},
           {"avoided_ms", MillisecondsUntil(upstream.health.avoid_until, now)},
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -67,6 +67,11 @@
   answer.not_run = !FindHeader(response.headers, "X-Not-Run").empty();
   answer.wrong_upstream = response.status == 421;
   answer.is_leaving = !FindHeader(response.headers, "X-Leaving").empty();
+  if (const auto pause = FindHeader(response.headers, "X-Pause-Ms"); !pause.empty()) {
+    int milliseconds = 0;
+    std::from_chars(pause.data(), pause.data() + pause.size(), milliseconds);
+    answer.wanted_pause = std::chrono::milliseconds(milliseconds);
+  }
   answer.caller_headers = response.headers;
   return answer;
 }
@@ -77,6 +82,10 @@
   response.headers.push_back({"X-Ran", std::string(ToString(refusal.ran))});
   if (refusal.retry_after.count() > 0) {
     response.headers.push_back({"Retry-After", "1"});
+    response.headers.push_back(
+        {"X-Retry-After-Ms",
+         std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(refusal.retry_after).count())});
   }
   return response;
 }
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -416,5 +416,33 @@
   BOOST_TEST(upstream.requests.size() == 2U);
 }
 
+// Guards against requests to an upstream that turned one away and asked for a pause:
+// they go elsewhere, and are refused at once, with the time of its end, where
+// nothing is left.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatWantsAPauseGetsNothingUntilItsEnd) {
+  EdgeFixture fixture;
+  RawUpstream& upstream =
+      fixture.AddUpstream({With(NotRun(), "X-Pause-Ms: 1200"), Sealed("whole")});
+  BOOST_TEST(fixture.Call("/order/1").value().status == 503);
+  const TimePoint asked_at = RuntimeClock::now();
+  const auto refused = fixture.Call("/order/2").value();
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(transport::FindHeader(refused.headers, "X-Ran") == "no");
+  const int retry_after =
+      std::stoi(std::string(transport::FindHeader(refused.headers, "X-Retry-After-Ms")));
+  BOOST_TEST(retry_after > 300);
+  BOOST_TEST(retry_after <= 1200);
+  BOOST_TEST(upstream.requests.size() == 1U);
+  RawUpstream& other = fixture.AddUpstream({Sealed("whole")});
+  BOOST_TEST(fixture.Call("/order/3").value().status == 200);
+  BOOST_TEST(other.requests.size() == 1U);
+  BOOST_TEST(upstream.requests.size() == 1U);
+  fixture.edge->OnPublishedChanges({{"u2", "", fixture.revision + 1, true}}, fixture.revision + 1);
+  fixture.RunFor(
+      std::chrono::ceil<std::chrono::milliseconds>(asked_at + 1200ms - RuntimeClock::now()));
+  BOOST_TEST(fixture.Call("/order/4").value().status == 200);
+  BOOST_TEST(upstream.requests.size() == 2U);
+}
+
 }  // namespace
 }  // namespace geraniumspread::edge
