Pass engines' own reports on, and move cheap prompts off a busy home

A peer of another failure domain is heard each 3 s, and its first digests count nothing. Ruled out: the mean (the emptied engines count, as in the rule), the margin alone (the estimates at the sends in question were 1 to 5, far below it), hot chats (the most frequent one had 7 of 2,275 requests), memory of the prompts.

A digest also carries what engines stated in answers to its sender within 0.6 s; the newest report of an engine counts, whoever got it, and is not passed on twice. Names of upstreams in digests shrink to 32 bits for it. And the cost of an engine rises between the mean and its bound, so that prompts which are cheap to read again leave a busy home before the bound moves long ones.

--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -12,7 +12,7 @@
 
 void AddLoads(UpstreamTable& upstreams, const Peer& peer) {
   for (const UpstreamLoad& load : peer.digest.loads) {
-    RemoteLoad& total = upstreams.remote[load.upstream_hash];
+    RemoteLoad& total = upstreams.remote[load.upstream_key];
     total.running += load.running;
     total.unread_tokens += load.unread_tokens;
   }
@@ -20,7 +20,7 @@
 
 void SubtractLoads(UpstreamTable& upstreams, const Peer& peer) {
   for (const UpstreamLoad& load : peer.digest.loads) {
-    const auto total = upstreams.remote.find(load.upstream_hash);
+    const auto total = upstreams.remote.find(load.upstream_key);
     if (total == upstreams.remote.end()) {
       continue;
     }
@@ -32,6 +32,21 @@
   }
 }
 
+// The newest report of an upstream wins, whoever got it.
+void TakeReports(UpstreamTable& upstreams, const PeerDigest& digest, TimePoint now) {
+  for (const ReportedLoad& reported : digest.reports) {
+    const auto row = upstreams.by_key.find(reported.upstream_key);
+    if (row == upstreams.by_key.end()) {
+      continue;
+    }
+    Upstream& upstream = *row->second;
+    const TimePoint at = now - reported.age;
+    if (!upstream.report || upstream.report->at < at) {
+      upstream.report = LoadReport{reported.requests, 0, at, upstream.running, true};
+    }
+  }
+}
+
 PeerChange ChangeOf(const Peer& peer, const PeerDigest& digest) {
   if (peer.digest.incarnation != digest.incarnation) {
     return peer.digest.incarnation == 0 ? PeerChange::kJoined : PeerChange::kRestarted;
@@ -94,6 +109,7 @@
   peer.heard_at = now;
   peer.counts_load = true;
   AddLoads(upstreams, peer);
+  TakeReports(upstreams, digest, now);
   peers.named.erase(digest.address);
   for (const std::string& address : digest.known_addresses) {
     if (address != peers.self_address && !peers.peers.contains(address)) {
@@ -258,11 +274,22 @@
   }));
 }
 
+std::vector<ReportedLoad> OwnReports(const UpstreamTable& upstreams, TimePoint now) {
+  std::vector<ReportedLoad> reports;
+  for (const auto& [id, row] : upstreams.rows) {
+    if (row->report && !row->report->from_peer && row->report->at + kReportLifetime >= now) {
+      reports.push_back(
+          {DigestKey(*row), row->report->running + row->report->waiting, now - row->report->at});
+    }
+  }
+  return reports;
+}
+
 std::vector<UpstreamLoad> OwnLoads(const UpstreamTable& upstreams) {
   std::vector<UpstreamLoad> loads;
   for (const auto& [id, row] : upstreams.rows) {
     if (row->running > 0) {
-      loads.push_back({row->id_hash, row->running, row->unread_tokens});
+      loads.push_back({DigestKey(*row), row->running, row->unread_tokens});
     }
   }
   return loads;
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -23,6 +23,8 @@
 // Reading shared prompt parts again costs more than its time: it takes prefill
 // time from all requests of the engine and pushes other chats out of its cache.
 constexpr double kRereadFactor = 5;
+// Shared tokens that are read again rather than sent to an engine at its bound.
+constexpr double kPressureTokens = 1500;
 // After this time most chats of a new engine have been sent to it once.
 constexpr Duration kNewEngineTime = std::chrono::seconds(15);
 // Fewer tokens are read faster than they are fetched.
@@ -122,13 +124,24 @@
   return (reread + waiting) / settings.prefill_tokens_per_ms + candidate.running * kEngineRunningMs;
 }
 
+// Rises from the mean load to the bound, so that prompts that are cheap to read
+// again leave a busy engine first and long ones keep their home.
+double PressureCost(const SelectionSettings& settings,
+                    const Candidate& candidate,
+                    double mean,
+                    double bound) {
+  const double part = (candidate.running - mean) / std::max(1.0, bound - mean);
+  return part <= 0 ? 0
+                   : part * part * kPressureTokens * kRereadFactor / settings.prefill_tokens_per_ms;
+}
+
 void SetCosts(const UpstreamTable& table,
               const SelectionSettings& settings,
               const SelectionQuestion& question,
               std::span<Candidate> candidates) {
   const Upstream* home = HomeOf(table, question, candidates);
-  const double bound = (settings.load_factor * MeanRunning(table, question) + settings.load_slack) *
-                       kLoadBoundMargin;
+  const double mean = MeanRunning(table, question);
+  const double bound = (settings.load_factor * mean + settings.load_slack) * kLoadBoundMargin;
   const double usual_failures = LowestFailureRate(question, candidates);
   const double kilobytes = static_cast<double>(question.body_bytes) / 1024;
   for (Candidate& candidate : candidates) {
@@ -151,6 +164,9 @@
       candidate.cost_ms += settings.silent_domain_ms;
     }
     candidate.cost_ms += (FailureRate(upstream.health, question.now) - usual_failures) * kFailureMs;
+    if (question.is_engine) {
+      candidate.cost_ms += PressureCost(settings, candidate, mean, bound);
+    }
     if (const double excess = candidate.running + 1 - bound; excess > 0) {
       candidate.cost_ms += kOverBoundMs + excess * kOverBoundMsPerRequest;
     }
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -8,8 +8,6 @@
 namespace geraniumspread::dispatch {
 namespace {
 
-// A report older than this says less than the counts of the instances.
-constexpr Duration kReportLifetime = std::chrono::milliseconds(300);
 // First pause after a failed connect; doubled with each further one. An upstream
 // that crashed is back or unlisted within seconds.
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(300);
@@ -95,6 +93,7 @@
   row->listed_at = now;
   row->cold_until = now + listing.cold_left;
   table.rows[listing.id] = row;
+  table.by_key[DigestKey(*row)] = row;
   AddToService(table, row);
   return is_restart ? ListingChange::kRestarted : ListingChange::kAdded;
 }
@@ -108,6 +107,7 @@
   row->listed = false;
   RememberDropped(table, *row, now);
   table.rows.erase(known);
+  table.by_key.erase(DigestKey(*row));
   RemoveFromService(table, row);
 }
 
@@ -134,6 +134,10 @@
   return due;
 }
 
+std::uint32_t DigestKey(const Upstream& upstream) {
+  return static_cast<std::uint32_t>(upstream.id_hash);
+}
+
 bool IsCold(const Upstream& upstream, TimePoint now) {
   return now < upstream.cold_until;
 }
@@ -174,7 +178,7 @@
 std::uint32_t EstimatedRunning(const UpstreamTable& table,
                                const Upstream& upstream,
                                TimePoint now) {
-  const auto remote = table.remote.find(upstream.id_hash);
+  const auto remote = table.remote.find(DigestKey(upstream));
   const std::uint32_t counted =
       upstream.running + (remote == table.remote.end() ? 0 : remote->second.running);
   if (!upstream.report || upstream.report->at + kReportLifetime < now) {
@@ -187,7 +191,7 @@
 }
 
 std::uint64_t EstimatedUnreadTokens(const UpstreamTable& table, const Upstream& upstream) {
-  const auto remote = table.remote.find(upstream.id_hash);
+  const auto remote = table.remote.find(DigestKey(upstream));
   return upstream.unread_tokens + (remote == table.remote.end() ? 0 : remote->second.unread_tokens);
 }
 
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -15,11 +15,20 @@
 namespace geraniumspread::dispatch {
 
 struct UpstreamLoad {
-  std::uint64_t upstream_hash = 0;
+  std::uint32_t upstream_key = 0;
   std::uint32_t running = 0;
   std::uint64_t unread_tokens = 0;
 };
 
+// Load that an upstream stated in an answer to the sender.
+struct ReportedLoad {
+  std::uint32_t upstream_key = 0;
+  // Running and waiting.
+  std::uint32_t requests = 0;
+  // As of the sending.
+  Duration age{0};
+};
+
 // One message of the exchange between instances.
 struct PeerDigest {
   std::string instance;
@@ -37,6 +46,7 @@
   // The sender follows the platform's store itself and reached it lately.
   bool reads_store = false;
   std::vector<UpstreamLoad> loads;
+  std::vector<ReportedLoad> reports;
   // Addresses of some other live instances.
   std::vector<std::string> known_addresses;
 };
@@ -133,6 +143,8 @@
 // order of those that read the store.
 std::size_t PlaceInDomain(const PeerTable& peers, TimePoint now);
 std::vector<UpstreamLoad> OwnLoads(const UpstreamTable& upstreams);
+// Reports in answers to this instance that are young enough to be used.
+std::vector<ReportedLoad> OwnReports(const UpstreamTable& upstreams, TimePoint now);
 
 }  // namespace geraniumspread::dispatch
 
--- a/src/dispatch/tests/peer_table_test.cc
+++ b/src/dispatch/tests/peer_table_test.cc
@@ -20,7 +20,7 @@
   digest.address = address;
   digest.failure_domain = "b";
   digest.published_revision = 5;
-  digest.loads = {{StableHash("a0"), running, 100}};
+  digest.loads = {{static_cast<std::uint32_t>(StableHash("a0")), running, 100}};
   return digest;
 }
 
@@ -39,7 +39,28 @@
   ApplyDigest(peers, upstreams, Digest("10.0.0.2", 3, 7), kStart);
   BOOST_CHECK(ApplyDigest(peers, upstreams, Digest("10.0.0.2", 2, 1), kStart) == PeerChange::kNone);
   ApplyDigest(peers, upstreams, Digest("10.0.0.3", 1, 2), kStart);
-  BOOST_TEST(upstreams.remote.at(StableHash("a0")).running == 9U);
+  BOOST_TEST(upstreams.remote.at(static_cast<std::uint32_t>(StableHash("a0"))).running == 9U);
+}
+
+// Guards against a stale count of an upstream's requests: what it stated to a peer is
+// newer than what all peers told of their own requests.
+BOOST_AUTO_TEST_CASE(TheNewestReportOfAnUpstreamCountsWhoeverGotIt) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  Upstream& upstream = *upstreams.rows.at("a0");
+  upstream.report = LoadReport{5, 0, kStart, 0};
+  const auto told = [&](std::uint64_t sequence, std::uint32_t requests, Duration age) {
+    PeerDigest digest = Digest("10.0.0.2", sequence, 0);
+    digest.reports = {{DigestKey(upstream), requests, age}, {12345, 9, 0ms}};
+    ApplyDigest(peers, upstreams, digest, kStart + 200ms);
+    return EstimatedRunning(upstreams, upstream, kStart + 200ms);
+  };
+  BOOST_TEST(told(1, 20, 300ms) == 5U);
+  BOOST_TEST(OwnReports(upstreams, kStart + 200ms).size() == 1U);
+  BOOST_TEST(told(2, 20, 100ms) == 20U);
+  // Passed on once only, so that its age is known well.
+  BOOST_TEST(OwnReports(upstreams, kStart + 200ms).empty());
+  BOOST_TEST(EstimatedRunning(upstreams, upstream, kStart + 100ms + kReportLifetime + 1ms) == 0U);
 }
 
 // Guards against the load of an instance that died.
--- a/src/dispatch/tests/selection_test.cc
+++ b/src/dispatch/tests/selection_test.cc
@@ -163,6 +163,25 @@
   BOOST_TEST(SelectUpstream(table, SelectionSettings{}, question).candidates.size() == 3U);
 }
 
+// Pattern: a home that is busier than the mean, below its bound. Prompts that are
+// cheap to read again leave it, long ones stay.
+BOOST_AUTO_TEST_CASE(ShortPromptsLeaveABusyHomeFirst) {
+  UpstreamTable table = MakeTable(4);
+  const auto home_of = [&](const Prompt& prompt) {
+    return SelectUpstream(table, SelectionSettings{}, EngineQuestion(prompt)).candidates.front();
+  };
+  const Prompt short_prompt = ChatPrompt(1, 1, 600);
+  const Prompt long_prompt = ChatPrompt(1, 1, 12'000);
+  const UpstreamRow home = home_of(short_prompt).row;
+  BOOST_TEST_REQUIRE(home_of(long_prompt).row == home);
+  for (const auto& [id, row] : table.rows) {
+    row->report = LoadReport{row == home ? 9U : 4U, 0, kStart, 0};
+    RememberPrompt(row->memory, ChatPrompt(2, 2, 1), 100'000);
+  }
+  BOOST_TEST((home_of(short_prompt).row != home));
+  BOOST_TEST((home_of(long_prompt).row == home));
+}
+
 // Guards against work for an upstream that leaves, was removed, or whose failure
 // domain the operators took out.
 BOOST_AUTO_TEST_CASE(DrainingRemovedAndOutOfServiceUpstreamsGetNothing) {
--- a/src/dispatch/tests/upstream_table_test.cc
+++ b/src/dispatch/tests/upstream_table_test.cc
@@ -144,7 +144,7 @@
   UpstreamTable table;
   ApplyListing(table, Listing("a", "x"), kStart);
   Upstream& upstream = *table.rows.at("a");
-  table.remote[StableHash("a")] = {3, 0};
+  table.remote[DigestKey(upstream)] = {3, 0};
   const RunningRequest running(table.rows.at("a"), 0);
   BOOST_TEST(EstimatedRunning(table, upstream, kStart) == 4U);
   upstream.report = LoadReport{9, 1, kStart, 1};
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -41,12 +41,14 @@
   TimePoint avoid_until;
 };
 
-// Load that the upstream itself stated in an answer.
+// Load that the upstream itself stated in an answer to this instance or to a peer.
 struct LoadReport {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   TimePoint at;
   std::uint32_t own_running = 0;
+  // A peer passed it on; it is not passed on again.
+  bool from_peer = false;
 };
 
 // What a process of an upstream said of itself. It holds until that process ends,
@@ -104,10 +106,20 @@
   std::set<std::string, std::less<>> domains_out;
   // Failure domains whose instances are silent, so that a cut is likely.
   std::set<std::string, std::less<>> domains_silent;
-  // By StableHash of the upstream's id; kept up to date by the peer table.
-  std::unordered_map<std::uint64_t, RemoteLoad> remote;
+  // By DigestKey.
+  std::unordered_map<std::uint32_t, UpstreamRow> by_key;
+  // By DigestKey; kept up to date by the peer table.
+  std::unordered_map<std::uint32_t, RemoteLoad> remote;
 };
 
+// Reports and most requests that they count are about as old; an older report says
+// less than the counts of the instances.
+inline constexpr Duration kReportLifetime = std::chrono::milliseconds(600);
+
+// Names an upstream in digests. Two of 2,900 share one in a thousandth of all
+// fleets, and then count each other's load.
+std::uint32_t DigestKey(const Upstream& upstream);
+
 enum class ListingChange : std::uint8_t { kNone, kAdded, kRestarted, kUpdated };
 
 // Adds or replaces a listing. A restart under the same id forgets what the old
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -18,14 +18,16 @@
 namespace json = boost::json;
 using Cbor = nlohmann::json;
 
-constexpr unsigned kDigestVersion = 1;
-constexpr std::size_t kDigestFields = 11;
+constexpr unsigned kDigestVersion = 2;
+constexpr std::size_t kDigestFields = 12;
 constexpr unsigned kLeaving = 1;
 constexpr unsigned kReadsStore = 2;
 // Fits one packet on a usual link.
 constexpr std::size_t kMaxDigestBytes = 1400;
-// Loads beyond this many are left out, the smallest first. A row takes up to 24 bytes.
-constexpr std::size_t kMaxLoads = 48;
+// Loads beyond this many are left out, the smallest first. A row takes up to 20 bytes.
+constexpr std::size_t kMaxLoads = 40;
+// Reports beyond this many are left out, the oldest first. A row takes up to 13 bytes.
+constexpr std::size_t kMaxReports = 16;
 
 // Smaller transfers are sent as they are: packing takes longer than the link.
 constexpr std::size_t kMinPackedBytes = 2048;
@@ -75,19 +77,42 @@
   return loads;
 }
 
-std::vector<dispatch::UpstreamLoad> DecodeLoads(const Cbor& row) {
+std::vector<dispatch::ReportedLoad> NewestReports(std::vector<dispatch::ReportedLoad> reports) {
+  std::ranges::sort(reports, {}, &dispatch::ReportedLoad::age);
+  reports.resize(std::min(reports.size(), kMaxReports));
+  return reports;
+}
+
+// Calls `take` with the place of each group of three numbers.
+template <typename Take>
+void ForEachTriple(const Cbor& row, Take take) {
   constexpr std::size_t kNumbers = 3;
   if (!row.is_array() || row.size() % kNumbers != 0) {
-    throw std::out_of_range("loads come by three numbers");
+    throw std::out_of_range("rows come by three numbers");
   }
-  std::vector<dispatch::UpstreamLoad> loads;
   for (std::size_t index = 0; index < row.size(); index += kNumbers) {
-    loads.push_back({Number<std::uint64_t>(row[index]), Number<std::uint32_t>(row[index + 1]),
-                     Number<std::uint64_t>(row[index + 2])});
+    take(index);
   }
+}
+
+std::vector<dispatch::UpstreamLoad> DecodeLoads(const Cbor& row) {
+  std::vector<dispatch::UpstreamLoad> loads;
+  ForEachTriple(row, [&](std::size_t index) {
+    loads.push_back({Number<std::uint32_t>(row[index]), Number<std::uint32_t>(row[index + 1]),
+                     Number<std::uint64_t>(row[index + 2])});
+  });
   return loads;
 }
 
+std::vector<dispatch::ReportedLoad> DecodeReports(const Cbor& row) {
+  std::vector<dispatch::ReportedLoad> reports;
+  ForEachTriple(row, [&](std::size_t index) {
+    reports.push_back({Number<std::uint32_t>(row[index]), Number<std::uint32_t>(row[index + 1]),
+                       std::chrono::milliseconds(Number<std::uint32_t>(row[index + 2]))});
+  });
+  return reports;
+}
+
 StateTransfer DecodeText(std::string_view text) {
   const json::object object = Parse(text);
   StateTransfer transfer;
@@ -107,11 +132,18 @@
 
 // A digest is a CBOR array, as it goes to several peers each 200 ms: version,
 // instance, incarnation, sequence, address, failure domain, flags, revision, age
-// of the confirmation, loads in a row (three numbers each), known addresses.
+// of the confirmation, loads in a row (three numbers each), known addresses,
+// reports in a row (three numbers each).
 std::string EncodeDigest(const dispatch::PeerDigest& digest) {
   Cbor loads = Cbor::array();
   for (const dispatch::UpstreamLoad& load : LargestLoads(digest.loads)) {
-    loads.insert(loads.end(), {load.upstream_hash, load.running, load.unread_tokens});
+    loads.insert(loads.end(), {load.upstream_key, load.running, load.unread_tokens});
+  }
+  Cbor reports = Cbor::array();
+  for (const dispatch::ReportedLoad& report : NewestReports(digest.reports)) {
+    reports.insert(reports.end(),
+                   {report.upstream_key, report.requests,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count()});
   }
   const unsigned flags = (digest.leaving ? kLeaving : 0) | (digest.reads_store ? kReadsStore : 0);
   const Cbor age =
@@ -129,7 +161,8 @@
                         digest.published_revision,
                         age,
                         std::move(loads),
-                        digest.known_addresses};
+                        digest.known_addresses,
+                        std::move(reports)};
   std::string bytes;
   Cbor::to_cbor(message, bytes);
   return bytes;
@@ -161,6 +194,7 @@
     }
     digest.loads = DecodeLoads(message.at(9));
     digest.known_addresses = message.at(10).get<std::vector<std::string>>();
+    digest.reports = DecodeReports(message.at(11));
     return digest;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -54,6 +54,7 @@
   digest.confirmation_age = dispatch::ConfirmationAge(edge.freshness, RuntimeClock::now());
   digest.reads_store = edge.feed_reachable && edge.reads_store;
   digest.loads = dispatch::OwnLoads(edge.upstreams);
+  digest.reports = dispatch::OwnReports(edge.upstreams, RuntimeClock::now());
   digest.known_addresses = dispatch::SharedAddresses(edge.peers, edge.random, RuntimeClock::now());
   return digest;
 }
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -20,7 +20,8 @@
   digest.published_revision = 77;
   digest.confirmation_age = 340ms;
   digest.reads_store = true;
-  digest.loads = {{0xfedcba9876543211U, 3, 9000}, {5, 1, 0}};
+  digest.loads = {{0xfedcba98U, 3, 9000}, {5, 1, 0}};
+  digest.reports = {{0x76543210U, 17, 120ms}, {6, 0, 0ms}};
   digest.known_addresses = {"10.1.0.17", "10.2.0.1"};
   return digest;
 }
@@ -39,8 +40,13 @@
   BOOST_TEST(digest.published_revision == 77U);
   BOOST_TEST((digest.confirmation_age == 340ms));
   BOOST_TEST_REQUIRE(digest.loads.size() == 2U);
-  BOOST_TEST(digest.loads.front().upstream_hash == 0xfedcba9876543211U);
+  BOOST_TEST(digest.loads.front().upstream_key == 0xfedcba98U);
   BOOST_TEST(digest.loads.front().unread_tokens == 9000U);
+  BOOST_TEST_REQUIRE(digest.reports.size() == 2U);
+  // The newest comes first.
+  BOOST_TEST(digest.reports.back().upstream_key == 0x76543210U);
+  BOOST_TEST(digest.reports.back().requests == 17U);
+  BOOST_TEST((digest.reports.back().age == 120ms));
   BOOST_TEST(digest.known_addresses == sent.known_addresses, boost::test_tools::per_element());
 }
 
@@ -55,11 +61,13 @@
 BOOST_AUTO_TEST_CASE(ADigestIsSmall) {
   constexpr std::size_t kDigestsPerSecond = 50;
   dispatch::PeerDigest digest = SampleDigest();
-  digest.loads.assign(5, {0xfedcba9876543211U, 3, 1500});
+  digest.loads.assign(5, {0xfedcba98U, 3, 1500});
+  digest.reports.assign(3, {0xfedcba98U, 3, 350ms});
   digest.known_addresses.assign(4, "10.128.0.116");
   BOOST_TEST(EncodeDigest(digest).size() * kDigestsPerSecond < 9000U);
   // Under any load it stays one packet, and the largest loads are told.
-  digest.loads.assign(2900, {0xfedcba9876543211U, 1, 0xffffffffU});
+  digest.reports.assign(2900, {0xfedcba98U, 0xffffffffU, 599ms});
+  digest.loads.assign(2900, {0xfedcba98U, 1, 0xffffffffU});
   digest.loads.back().running = 90;
   const dispatch::PeerDigest cut =
       DecodeDigest(EncodeDigest(digest)).value_or(dispatch::PeerDigest{});
