--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -277,9 +277,12 @@
 std::vector<ReportedLoad> OwnReports(const UpstreamTable& upstreams, TimePoint now) {
   std::vector<ReportedLoad> reports;
   for (const auto& [id, row] : upstreams.rows) {
-    if (row->report && !row->report->from_peer && row->report->at + kReportLifetime >= now) {
-      reports.push_back(
-          {DigestKey(*row), row->report->running + row->report->waiting, now - row->report->at});
+    if (!row->report) {
+      continue;
+    }
+    const LoadReport& report = *row->report;
+    if (!report.from_peer && report.at + kReportLifetime >= now) {
+      reports.push_back({DigestKey(*row), report.running + report.waiting, now - report.at});
     }
   }
   return reports;
--- a/src/dispatch/tests/state_relay_test.cc
+++ b/src/dispatch/tests/state_relay_test.cc
@@ -136,7 +136,7 @@
 }
 
 void ChangeStore(Store& store, std::mt19937& random) {
-  const std::string key = "servers/" + std::to_string(random() % kKeys);
+  const std::string key = "upstream-" + std::to_string(random() % kKeys);
   if (random() % 4 == 0) {
     Remove(store, key);
   } else {
--- a/src/edge/tests/edge_log_test.cc
+++ b/src/edge/tests/edge_log_test.cc
@@ -172,9 +172,9 @@
 BOOST_AUTO_TEST_CASE(AWholeStateHasOneLineForAllUpstreamsThatWereAdded) {
   const LogFile log("state");
   EdgeFixture fixture;
-  std::vector<dispatch::PublishedItem> changes;
-  for (int upstream = 0; upstream < 100; ++upstream) {
-    changes.push_back({"many" + std::to_string(upstream), "127.0.0.1:1", ++fixture.revision});
+  std::vector<dispatch::PublishedItem> changes(100);
+  for (std::size_t upstream = 0; upstream < changes.size(); ++upstream) {
+    changes[upstream] = {"many" + std::to_string(upstream), "127.0.0.1:1", ++fixture.revision};
   }
   fixture.edge->OnPublishedChanges(std::move(changes), fixture.revision);
   BOOST_TEST(log.Lines("published_state_applied").size() == 1U);
