Keep the longer of two pauses that an upstream asked for

Requests that were on their way together are turned away one after the other; a second, shorter wish replaced the first one and ended it early, which the users' rule counts for each wish. The case TheLongerOfTwoPausesHolds fails when the newer wish replaces the older one.

--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -151,6 +151,10 @@
          !table.domains_out.contains(upstream.listing.failure_domain);
 }
 
+void NotePause(Upstream& upstream, Duration pause, TimePoint now) {
+  upstream.said.wants_none_until = std::max(upstream.said.wants_none_until, now + pause);
+}
+
 bool WantsPause(const Upstream& upstream, TimePoint now) {
   return now < upstream.said.wants_none_until;
 }
--- a/src/dispatch/tests/upstream_table_test.cc
+++ b/src/dispatch/tests/upstream_table_test.cc
@@ -96,6 +96,20 @@
   BOOST_TEST(!WantsPause(*table.rows.at("a"), kStart + 3s));
 }
 
+// Guards against a second, shorter wish that ends the first one early: requests that
+// were on their way together are turned away one after the other.
+BOOST_AUTO_TEST_CASE(TheLongerOfTwoPausesHolds) {
+  UpstreamTable table;
+  ApplyListing(table, Listing("a", "x"), kStart);
+  Upstream& upstream = *table.rows.at("a");
+  NotePause(upstream, 3s, kStart);
+  NotePause(upstream, 1s, kStart + 100ms);
+  BOOST_TEST(WantsPause(upstream, kStart + 3s - 1ns));
+  BOOST_TEST(!WantsPause(upstream, kStart + 3s));
+  NotePause(upstream, 2s, kStart + 2s);
+  BOOST_TEST(WantsPause(upstream, kStart + 4s - 1ns));
+}
+
 // Guards against a time to return at which nothing is there, or that is later than
 // the first upstream that takes work again.
 BOOST_AUTO_TEST_CASE(TheFirstPauseToEndIsTheTimeToReturn) {
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -138,6 +138,9 @@
 bool IsBehindCut(const UpstreamTable& table, const Upstream& upstream);
 // False while leaving, removed, or in a failure domain that is out of service.
 bool TakesNewWork(const UpstreamTable& table, const Upstream& upstream);
+// Notes that it asked this instance for a pause from now on. A longer one that it
+// asked for before still holds.
+void NotePause(Upstream& upstream, Duration pause, TimePoint now);
 // Whether it asked this instance for a pause that is not over.
 bool WantsPause(const Upstream& upstream, TimePoint now);
 // When the first upstream of the service that takes new work ends its pause;
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -47,7 +47,6 @@
 
 // What the upstream says of itself. An answer of another process says nothing of it.
 void TakeStatements(RequestRun& run, dispatch::Upstream& upstream, const UpstreamAnswer& answer) {
-  const TimePoint now = RuntimeClock::now();
   if (answer.wrong_upstream) {
     return;
   }
@@ -60,7 +59,7 @@
               {"published_revision", run.edge->published.revision}});
   }
   if (answer.wanted_pause) {
-    upstream.said.wants_none_until = now + *answer.wanted_pause;
+    dispatch::NotePause(upstream, *answer.wanted_pause, RuntimeClock::now());
   }
   if (answer.wanted_pause || !answer.pause_fault.empty()) {
     LogEvent(LogLevel::kInfo, "upstream_wants_pause",
