--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -277,12 +277,13 @@
 std::vector<ReportedLoad> OwnReports(const UpstreamTable& upstreams, TimePoint now) {
   std::vector<ReportedLoad> reports;
   for (const auto& [id, row] : upstreams.rows) {
-    if (!row->report) {
+    const Upstream& upstream = *row;
+    if (!upstream.report) {
       continue;
     }
-    const LoadReport& report = *row->report;
+    const LoadReport& report = *upstream.report;
     if (!report.from_peer && report.at + kReportLifetime >= now) {
-      reports.push_back({DigestKey(*row), report.running + report.waiting, now - report.at});
+      reports.push_back({DigestKey(upstream), report.running + report.waiting, now - report.at});
     }
   }
   return reports;
