Use one piece of code where the change had several

Found on reading the change once more; behaviour and assertions are as they were.

- Two log lines converted a duration by hand beside Milliseconds of the edge.
- Three cases of dispatch_freshness_test and PlayChange published a change, let the fleet play on and took the time of the last instance, each by itself: all call Publish.

Looked at and left: listings and dropped processes join the statement of leaving at two places (one line each); OwnLoads and OwnReports walk the table once each for a digest; the pairs of fleet_load_test are plain struct shapes.

--- a/src/dispatch/tests/freshness_test.cc
+++ b/src/dispatch/tests/freshness_test.cc
@@ -330,15 +330,22 @@
   return size.instances < 100 ? 6 : 1;
 }
 
-// Plays one change and returns the time until the last instance has it.
+// Publishes a change at a moment that the fleet has reached, and returns the time
+// until the last instance has it.
+Duration Publish(FakeFleet& fleet, TimePoint at) {
+  ++fleet.store_revision;
+  Play(fleet, at, at + kBound + 1s);
+  return LastInForce(fleet, at);
+}
+
+// Plays a calm start and one change, and returns the time until the last instance
+// has it.
 Duration PlayChange(FakeFleet& fleet, std::uint64_t seed) {
   constexpr Duration kSettle = 4s;
   const TimePoint published_at = kStart + kSettle + std::chrono::milliseconds(seed * 97 % 1000);
   Play(fleet, kStart, published_at);
   fleet.store_calls = 0;
-  ++fleet.store_revision;
-  Play(fleet, published_at, published_at + kBound + 1s);
-  return LastInForce(fleet, published_at);
+  return Publish(fleet, published_at);
 }
 
 // Pattern: a calm fleet. The bound holds and few instances call the store.
@@ -371,9 +378,7 @@
         }
         const TimePoint published_at = kStart + 3s + std::chrono::milliseconds(seed * 130);
         Play(fleet, kStart + 3s, published_at);
-        ++fleet.store_revision;
-        Play(fleet, published_at, published_at + kBound + 1s);
-        BOOST_TEST(Milliseconds(LastInForce(fleet, published_at)) < Milliseconds(kBound));
+        BOOST_TEST(Milliseconds(Publish(fleet, published_at)) < Milliseconds(kBound));
       }
     }
   }
@@ -389,9 +394,7 @@
       for (FakeInstance& instance : fleet.instances) {
         instance.paused_until = instance.reads ? published_at + 10s : TimePoint{};
       }
-      ++fleet.store_revision;
-      Play(fleet, published_at, published_at + kBound + 1s);
-      BOOST_TEST(Milliseconds(LastInForce(fleet, published_at)) < Milliseconds(kBound));
+      BOOST_TEST(Milliseconds(Publish(fleet, published_at)) < Milliseconds(kBound));
     }
   }
 }
@@ -409,9 +412,7 @@
         Play(fleet, now, now + 70ms);
         now += 70ms;
       }
-      ++fleet.store_revision;
-      Play(fleet, now, now + kBound + 1s);
-      BOOST_TEST(Milliseconds(LastInForce(fleet, now)) < Milliseconds(kBound));
+      BOOST_TEST(Milliseconds(Publish(fleet, now)) < Milliseconds(kBound));
     }
   }
 }
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -81,8 +81,7 @@
     LogEvent(LogLevel::kInfo, "upstream_cold",
              {{"upstream", upstream.listing.id},
               {"request_id", run.request.id},
-              {"cold_left_ms",
-               std::chrono::duration_cast<std::chrono::milliseconds>(*answer.cold_left).count()}});
+              {"cold_left_ms", Milliseconds(*answer.cold_left)}});
   }
 }
 
--- a/src/edge/internal/published_feed.cc
+++ b/src/edge/internal/published_feed.cc
@@ -94,8 +94,7 @@
             {"draining", listing.draining},
             {"takes_new_work", TakesNewWork(edge, listing.id)},
             {"started_at_ms", listing.started_at_ms},
-            {"cold_left_ms",
-             std::chrono::duration_cast<std::chrono::milliseconds>(listing.cold_left).count()},
+            {"cold_left_ms", Milliseconds(listing.cold_left)},
             {"revision", item.revision}});
 }
 
