--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -1,6 +1,8 @@
 #include "edge/internal/request_run.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <cmath>
 #include <span>
 
@@ -115,6 +117,22 @@
   return text;
 }
 
+// Lists the ids of the shared prompt parts. Several failed requests with a part in common
+// suggest that this part is the cause.
+std::string DescribeSharedParts(const dispatch::Prompt& prompt) {
+  constexpr std::size_t kShown = 8;
+  constexpr int kHexadecimal = 16;
+  constexpr std::size_t kMaxDigits = 16;
+  std::string text;
+  for (std::size_t index = 0; index + 1 < prompt.parts.size() && index < kShown; ++index) {
+    std::array<char, kMaxDigits> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                   prompt.parts[index].id, kHexadecimal);
+    text.append(index == 0 ? "" : " ").append(digits.data(), end.ptr);
+  }
+  return text;
+}
+
 // Requests that succeed at the first attempt are sampled by request id, so that all
 // instances log the same ones.
 bool IsSampled(const RequestRun& run) {
@@ -141,7 +159,7 @@
             {"elapsed_ms", Milliseconds(RuntimeClock::now() - run.started)},
             {"fetch_from", selection.candidates.front().fetch_from},
             {"home", selection.candidates.front().is_home},
-            {"subject", dispatch::SubjectOf(run.request.prompt)},
+            {"shared_parts", DescribeSharedParts(run.request.prompt)},
             {"candidates", Describe(selection)},
             {"config", ConfigVersion(*run.edge)},
             {"published_revision", run.edge->published.revision}});
