--- /dev/null
+++ b/src/edge/tests/edge_crash_test.cc
@@ -0,0 +1,81 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "edge/tests/edge_fixture.h"
+
+// Requests that crash the upstream that runs them.
+namespace geraniumspread::edge {
+namespace {
+
+using namespace std::chrono_literals;
+using test::EdgeFixture;
+using test::RawUpstream;
+using test::Sealed;
+using transport::FindHeader;
+
+// Sends requests of which some crash each upstream that runs them, to the instances in turn.
+class CrashRun {
+ public:
+  explicit CrashRun(EdgeFixture& edge_fixture) : fixture(edge_fixture) {
+    for (int upstream = 0; upstream < 12; ++upstream) {
+      this->fixture.AddUpstream({Sealed("whole")}).crashes_on = kCrashingPart;
+    }
+  }
+
+  // Sends a request that shares all parts but the last with others of its kind, and a request
+  // without the crashing part that shares the others.
+  void SendBoth() {
+    ++this->sent;
+    const std::string last = std::to_string(1000 + this->sent);
+    this->fixture.current = this->sent % this->fixture.caller_endpoints.size();
+    this->crashing =
+        this->fixture.Call("/order/1", {{"X-Parts", "1,2,666," + last}}, "order " + last).value();
+    this->sound = this->fixture.Call("/order/2", {{"X-Parts", "1,2," + last}}).value();
+    this->fixture.RunFor(300ms);
+  }
+
+  std::size_t Crashes() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->fixture.upstreams, [](const auto& upstream) { return upstream->has_crashed; }));
+  }
+
+  EdgeFixture& fixture;
+  std::size_t sent = 0;
+  transport::HttpResponse crashing{0};
+  transport::HttpResponse sound{0};
+
+ private:
+  static constexpr const char* kCrashingPart = ",666,";
+};
+
+// Guards against requests that crash one upstream after the other because they share a prompt
+// part. Five crashes must be enough to find the part.
+BOOST_AUTO_TEST_CASE(APartThatCrashesUpstreamsIsQuarantined) {
+  EdgeFixture fixture;
+  CrashRun run(fixture);
+  for (int round = 0; round < 9; ++round) {
+    run.SendBoth();
+    BOOST_TEST(run.sound.status == 200);
+  }
+  BOOST_TEST(run.Crashes() <= 5U);
+  BOOST_TEST(run.crashing.status == 503);
+  BOOST_TEST(FindHeader(run.crashing.headers, "X-Ran") == "no");
+  BOOST_TEST(!FindHeader(run.crashing.headers, "Retry-After").empty());
+}
+
+// The same when each instance sees only some of the crashes.
+BOOST_AUTO_TEST_CASE(CrashesAtSeveralInstancesAddUp) {
+  EdgeFixture fixture;
+  fixture.AddInstance("127.0.0.2");
+  fixture.AddInstance("127.0.0.3");
+  CrashRun run(fixture);
+  for (int round = 0; round < 9; ++round) {
+    run.SendBoth();
+    BOOST_TEST(run.sound.status == 200);
+  }
+  BOOST_TEST(run.Crashes() <= 5U);
+  BOOST_TEST(run.crashing.status == 503);
+}
+
+}  // namespace
+}  // namespace geraniumspread::edge
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -25,6 +25,19 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint16_t kFirstPort = 21500;
 
+// Decodes the ids of the prompt parts, separated by commas.
+dispatch::Prompt DecodePrompt(std::string_view text) {
+  dispatch::Prompt prompt;
+  while (!text.empty()) {
+    const auto end = std::min(text.find(','), text.size());
+    dispatch::PromptPart part{0, 1};
+    std::from_chars(text.data(), text.data() + end, part.id);
+    prompt.parts.push_back(part);
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  return prompt;
+}
+
 // The codec's functions take their requests by value, as the adapter moves from them.
 // NOLINTBEGIN(performance-unnecessary-value-param)
 // Codec of a minimal test platform: short header names and items that need no decoding.
@@ -43,6 +56,11 @@
     request.deadline = std::chrono::milliseconds(milliseconds);
   }
   request.forwarded_headers = {{"X-Id", request.id}};
+  const std::string_view parts = FindHeader(raw.headers, "X-Parts");
+  request.prompt = DecodePrompt(parts);
+  if (!parts.empty()) {
+    request.forwarded_headers.push_back({"X-Parts", std::string(parts)});
+  }
   request.method = raw.method;
   request.target = raw.target;
   request.body = raw.body;
@@ -143,6 +161,14 @@
   return {DecodeRequest, EncodeRequest, DecodeAnswer, EncodeRefusal, DecodeItem, "/ready"};
 }
 
+std::unique_ptr<Edge> StartInstance(asio::io_context& io, const EdgeSettings& settings) {
+  auto instance = std::make_unique<Edge>(io, settings, TestCodec());
+  if (const auto started = instance->Start(); !started) {
+    throw std::runtime_error(started.error().message);
+  }
+  return instance;
+}
+
 std::string WithId(std::string bytes, const std::string& request) {
   const auto place = bytes.find("{id}");
   const auto header = request.find("X-Id: ");
@@ -221,11 +247,25 @@
       co_return;
     }
     ++this->connections;
-    asio::co_spawn(this->acceptor.get_executor(), this->Serve(std::move(socket)), asio::detached);
+    auto accepted = std::make_shared<tcp::socket>(std::move(socket));
+    this->sockets.push_back(accepted);
+    asio::co_spawn(this->acceptor.get_executor(), this->Serve(std::move(accepted)), asio::detached);
   }
 }
 
-asio::awaitable<void> RawUpstream::Serve(tcp::socket socket) {
+void RawUpstream::Crash() {
+  this->has_crashed = true;
+  this->acceptor.close();
+  for (const auto& weak : this->sockets) {
+    if (const auto socket = weak.lock(); socket && socket->is_open()) {
+      socket->set_option(tcp::socket::linger(true, 0));
+      socket->close();
+    }
+  }
+}
+
+asio::awaitable<void> RawUpstream::Serve(std::shared_ptr<tcp::socket> connection) {
+  tcp::socket& socket = *connection;
   std::string received;
   std::array<char, 4096> chunk{};
   boost::system::error_code error;
@@ -239,6 +279,11 @@
     }
     this->requests.push_back(received.substr(0, length));
     received.erase(0, length);
+    if (!this->crashes_on.empty() &&
+        this->requests.back().find(this->crashes_on) != std::string::npos) {
+      this->Crash();
+      co_return;
+    }
     const Reply reply = this->pending.front();
     if (this->pending.size() > 1) {
       this->pending.pop_front();
@@ -277,20 +322,34 @@
   this->settings.retries.slack = 100;
   this->settings.log_one_in = 1;
   this->settings.stop_grace = std::chrono::milliseconds(3500);
-  this->edge = std::make_unique<Edge>(this->io, this->settings, TestCodec());
-  if (const auto started = this->edge->Start(); !started) {
-    throw std::runtime_error(started.error().message);
-  }
+  this->edge = StartInstance(this->io, this->settings);
+  this->caller_endpoints.push_back(this->settings.caller_endpoint);
+}
+
+void EdgeFixture::AddInstance(const std::string& address) {
+  EdgeSettings other = this->settings;
+  other.instance = "edge-" + std::to_string(this->caller_endpoints.size() + 1);
+  other.address = address;
+  other.seed_addresses = {this->settings.address};
+  other.caller_endpoint = transport::FreeEndpoint(this->io, kFirstPort);
+  other.readiness_endpoint = transport::FreeEndpoint(this->io, kFirstPort);
+  other.metrics_endpoint = transport::FreeEndpoint(this->io, kFirstPort);
+  other.peer_endpoint.address = address;
+  this->other_instances.push_back(StartInstance(this->io, other));
+  this->caller_endpoints.push_back(other.caller_endpoint);
 }
 
 RawUpstream& EdgeFixture::AddUpstream(std::deque<Reply> replies) {
   this->upstreams.push_back(std::make_unique<RawUpstream>(this->io, std::move(replies)));
   RawUpstream& upstream = *this->upstreams.back();
   ++this->revision;
-  this->edge->OnPublishedChanges(
-      {{"config", "", this->revision},
-       {"u" + std::to_string(this->upstreams.size()), upstream.Address(), this->revision + 1}},
-      this->revision + 1);
+  const std::vector<dispatch::PublishedItem> changes{
+      {"config", "", this->revision},
+      {"u" + std::to_string(this->upstreams.size()), upstream.Address(), this->revision + 1}};
+  this->edge->OnPublishedChanges(changes, this->revision + 1);
+  for (const auto& other : this->other_instances) {
+    other->OnPublishedChanges(changes, this->revision + 1);
+  }
   ++this->revision;
   return upstream;
 }
@@ -308,8 +367,8 @@
   bool is_done = false;
   transport::Result<HttpResponse> answer = HttpResponse(0);
   const auto fetch = [&]() -> asio::awaitable<void> {
-    answer = co_await transport::Fetch(pool, this->settings.caller_endpoint, std::move(request),
-                                       transport::ExchangeTimeouts{}, 1 << 20);
+    answer = co_await transport::Fetch(pool, this->caller_endpoints[this->current],
+                                       std::move(request), transport::ExchangeTimeouts{}, 1 << 20);
     is_done = true;
   };
   asio::co_spawn(this->io, fetch(), asio::detached);
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -45,10 +45,17 @@
   std::vector<std::string> requests;
   std::size_t connections = 0;
   std::size_t closed_by_peer = 0;
+  // If set, a request that contains this text crashes the process: all connections are reset
+  // and later connects are refused.
+  std::string crashes_on;
+  bool has_crashed = false;
 
  private:
   boost::asio::awaitable<void> Accept();
-  boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
+  boost::asio::awaitable<void> Serve(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+  void Crash();
+
+  std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> sockets;
 
   boost::asio::ip::tcp::acceptor acceptor;
   std::deque<Reply> pending;
@@ -59,6 +66,10 @@
  public:
   EdgeFixture();
 
+  // Starts another instance of the fleet at this loopback address, with the same published
+  // upstreams. Requests go to the instance that `current` selects.
+  void AddInstance(const std::string& address);
+
   // Publishes an upstream of the service "app".
   RawUpstream& AddUpstream(std::deque<Reply> replies);
   // Sends one request and waits for the whole response.
@@ -75,6 +86,11 @@
   boost::asio::io_context io;
   EdgeSettings settings;
   std::unique_ptr<Edge> edge;
+  // Instances after the first, with the endpoints that callers use.
+  std::vector<std::unique_ptr<Edge>> other_instances;
+  std::vector<transport::Endpoint> caller_endpoints;
+  // The instance that gets the requests: an index into `caller_endpoints`.
+  std::size_t current = 0;
   std::vector<std::unique_ptr<RawUpstream>> upstreams;
   std::uint64_t revision = 1;
 };
