Refuse requests that crash upstreams, at all instances

Cause: requests with one prompt part in common crash each engine that begins to answer them. No instance remembered what was in flight at a crash, and none saw enough of the crashes to tell. Class: evidence that no single instance has. Ruled out by the logs: a repeated request (no id came twice), load (0 to 9 requests for 96 slots at the crashes).

An upstream that closes connections before their answers are complete and then refuses a new one has crashed. The shared parts of the unanswered requests, and each request as a whole, are suspected. Instances exchange the evidence in a datagram of its own, which is sent only while there is some. Crashes without an answer in between add up over the fleet, one crash counts once whoever saw it, and two put the trait into quarantine, five if some answer with it has begun. A crash that a quarantined part explains counts for no other part. After a minute one instance after the other tries again. A stream without a length that ends before its first event is no longer taken for complete, as a crash looks so.

--- /dev/null
+++ b/src/dispatch/tests/crash_quarantine_test.cc
@@ -0,0 +1,277 @@
+#include "dispatch/crash_quarantine.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <vector>
+
+namespace geraniumspread::dispatch {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr Trait kCrashingPart = 666;
+constexpr Trait kCommonPart = 1;
+constexpr auto kCrashesNeeded = static_cast<std::uint32_t>(CrashQuarantineSettings{}.crashes);
+
+RequestTraits Request(std::vector<Trait> shared_parts, Trait whole) {
+  return {std::move(shared_parts), whole};
+}
+
+bool Refuses(const CrashQuarantine& quarantine, const RequestTraits& traits, TimePoint now) {
+  return FindQuarantine(quarantine, traits, 0, {}, now).has_value();
+}
+
+// Lets an upstream crash with one request in flight.
+void CrashWith(CrashQuarantine& quarantine,
+               std::uint32_t process,
+               const RequestTraits& traits,
+               TimePoint now) {
+  RecordCrash(quarantine, {process, now}, {&traits, 1});
+}
+
+// Sends all evidence of one instance to another.
+void Send(CrashQuarantine& from, CrashQuarantine& to, TimePoint now) {
+  while (true) {
+    const std::vector<CrashEvidence> evidence = TakeEvidenceToSend(from, now);
+    if (evidence.empty()) {
+      return;
+    }
+    MergeEvidence(to, evidence, now);
+  }
+}
+
+// Pattern: no two of the crashing requests are alike, and others share all their parts but
+// one.
+BOOST_AUTO_TEST_CASE(OnlyThePartThatAllCrashesHaveInCommonIsQuarantined) {
+  CrashQuarantine quarantine;
+  TimePoint now = kStart;
+  for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash, now += 800ms) {
+    const Trait chat = 100 + crash;
+    BOOST_TEST(!Refuses(quarantine, Request({kCommonPart, chat, kCrashingPart}, 9), now));
+    CrashWith(quarantine, crash, Request({kCommonPart, chat, kCrashingPart}, 1000 + crash), now);
+    RecordAnswer(quarantine, Request({kCommonPart, 50}, 2000 + crash), now + 100ms);
+  }
+  BOOST_TEST(Refuses(quarantine, Request({kCommonPart, 7, kCrashingPart}, 9), now));
+  BOOST_TEST(!Refuses(quarantine, Request({kCommonPart, 101}, 9), now));
+}
+
+// Guards against a quarantine of a sound part that came with the crashing one in all crashes,
+// and of which no answer has begun yet. If it is at fault too, one more crash shows it.
+BOOST_AUTO_TEST_CASE(OfTwoPartsThatAlwaysCameTogetherTheLaterIsQuarantined) {
+  CrashQuarantine quarantine;
+  for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash) {
+    CrashWith(quarantine, crash, Request({5, kCrashingPart}, crash), kStart + crash * 1s);
+  }
+  BOOST_TEST(Refuses(quarantine, Request({5, kCrashingPart}, 9), kStart + 4s));
+  BOOST_TEST(!Refuses(quarantine, Request({5}, 9), kStart + 4s));
+  CrashWith(quarantine, 4, Request({5}, 9), kStart + 5s);
+  BOOST_TEST(Refuses(quarantine, Request({5}, 10), kStart + 6s));
+}
+
+// The same at an instance that hears of the quarantine before it has all the evidence.
+BOOST_AUTO_TEST_CASE(APeerAttributesTheCrashesToTheSamePart) {
+  CrashQuarantine one;
+  CrashQuarantine other;
+  for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash) {
+    CrashWith(one, crash, Request({5, kCrashingPart}, crash), kStart + crash * 1s);
+    if (crash < kCrashesNeeded) {
+      CrashWith(other, crash, Request({5}, 10 + crash), kStart + crash * 1s);
+    }
+  }
+  Send(one, other, kStart + 3s);
+  CrashWith(other, kCrashesNeeded, Request({5}, 13), kStart + kCrashesNeeded * 1s);
+  BOOST_TEST(Refuses(other, Request({5, kCrashingPart}, 9), kStart + 4s));
+  BOOST_TEST(!Refuses(other, Request({5}, 9), kStart + 4s));
+}
+
+// Guards against a caller that repeats its request: the part is found as soon as the request.
+BOOST_AUTO_TEST_CASE(APartIsFoundAlthoughOneRequestIsRepeated) {
+  CrashQuarantine quarantine;
+  for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash) {
+    CrashWith(quarantine, crash, Request({kCrashingPart}, 77), kStart + crash * 1s);
+  }
+  BOOST_TEST(Refuses(quarantine, Request({kCrashingPart}, 78), kStart + 4s));
+}
+
+// Guards against requests that repeat exactly and have no prompt: they crash plain services.
+BOOST_AUTO_TEST_CASE(ARequestThatCrashesUpstreamsIsQuarantined) {
+  CrashQuarantine quarantine;
+  for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash) {
+    CrashWith(quarantine, crash, Request({}, 77), kStart + crash * 1s);
+  }
+  BOOST_TEST(Refuses(quarantine, Request({}, 77), kStart + 4s));
+  BOOST_TEST(!Refuses(quarantine, Request({}, 78), kStart + 4s));
+}
+
+// Guards against a quarantine of requests that were only in flight at the crashes of others:
+// an answer in between clears them.
+BOOST_AUTO_TEST_CASE(ATraitThatIsAnsweredBetweenCrashesIsNotQuarantined) {
+  CrashQuarantine quarantine;
+  const RequestTraits bystander = Request({kCommonPart, 5}, 6);
+  TimePoint now = kStart;
+  for (std::uint32_t crash = 1; crash <= 12; ++crash, now += 2s) {
+    CrashWith(quarantine, crash, bystander, now);
+    if (crash % 2 == 0) {
+      RecordAnswer(quarantine, bystander, now + 500ms);
+    }
+  }
+  BOOST_TEST(!Refuses(quarantine, bystander, now));
+}
+
+// Guards against taking a partition for crashes: the connections to many upstreams break
+// within a moment, and a request that is repeated meets several of them.
+BOOST_AUTO_TEST_CASE(UpstreamsLostAtTheSameTimeCountOnce) {
+  CrashQuarantine quarantine;
+  for (std::uint32_t upstream = 1; upstream <= 20; ++upstream) {
+    CrashWith(quarantine, upstream, Request({5}, 6), kStart + upstream * 10ms);
+  }
+  BOOST_TEST(!Refuses(quarantine, Request({5}, 6), kStart + 1s));
+}
+
+// Each of six instances sees one crash; none could tell alone.
+BOOST_AUTO_TEST_CASE(EvidenceOfAllInstancesAddsUp) {
+  std::vector<CrashQuarantine> instances(6);
+  TimePoint now = kStart;
+  for (std::uint32_t crash = 0; crash < kCrashesNeeded; ++crash, now += 1s) {
+    CrashWith(instances[crash], crash + 1, Request({kCrashingPart}, 1000 + crash), now);
+    for (CrashQuarantine& other : instances) {
+      if (&other != &instances[crash]) {
+        Send(instances[crash], other, now + 200ms);
+        ResendEvidence(instances[crash], now);
+      }
+    }
+  }
+  for (const CrashQuarantine& instance : instances) {
+    BOOST_TEST(Refuses(instance, Request({kCrashingPart}, 1), now));
+  }
+}
+
+// Guards against counting one crash several times because several instances saw it.
+BOOST_AUTO_TEST_CASE(OneCrashSeenBySeveralInstancesCountsOnce) {
+  CrashQuarantine one;
+  CrashQuarantine other;
+  for (const auto delay : {0ms, 300ms, 600ms}) {
+    CrashWith(one, 1, Request({5}, 6), kStart + delay);
+    CrashWith(other, 1, Request({5}, 7), kStart + delay);
+    Send(other, one, kStart + delay);
+  }
+  BOOST_TEST(!Refuses(one, Request({5}, 6), kStart + 1s));
+}
+
+// An answer that only one instance saw clears the trait at the others.
+BOOST_AUTO_TEST_CASE(AnAnswerAtOneInstanceClearsTheTraitAtAll) {
+  CrashQuarantine one;
+  CrashQuarantine other;
+  for (std::uint32_t crash = 1; crash <= 8; ++crash) {
+    const TimePoint now = kStart + crash * 2s;
+    RecordAnswer(other, Request({5}, 100 + crash), now - 1500ms);
+    CrashWith(one, crash, Request({5}, crash), now);
+    Send(one, other, now + 200ms);
+    Send(other, one, now + 400ms);
+  }
+  BOOST_TEST(!Refuses(one, Request({5}, 9), kStart + 20s));
+  BOOST_TEST(!Refuses(other, Request({5}, 9), kStart + 20s));
+}
+
+// Guards against a quarantine that is forgotten by a restarted instance.
+BOOST_AUTO_TEST_CASE(ARestartedInstanceLearnsTheQuarantine) {
+  CrashQuarantine one;
+  for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash) {
+    CrashWith(one, crash, Request({5}, crash), kStart + crash * 1s);
+  }
+  while (!TakeEvidenceToSend(one, kStart + 4s).empty()) {
+  }
+  CrashQuarantine restarted;
+  ResendEvidence(one, kStart + 10s);
+  Send(one, restarted, kStart + 10s);
+  BOOST_TEST(Refuses(restarted, Request({5}, 9), kStart + 10s));
+  BOOST_TEST(!Refuses(restarted, Request({5}, 9),
+                      kStart + kCrashesNeeded * 1s + one.settings.first_quarantine));
+}
+
+// Guards against a trait that is shut out for ever, and against all instances trying it at
+// once. One instance tries first; an answer ends the quarantine everywhere, a crash begins one
+// of twice the length.
+BOOST_AUTO_TEST_CASE(AQuarantineEndsWithATrialAtOneInstance) {
+  for (const bool is_mended : {true, false}) {
+    CrashQuarantine quarantine;
+    for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash) {
+      CrashWith(quarantine, crash, Request({5}, crash), kStart + crash * 1s);
+    }
+    const Duration first = quarantine.settings.first_quarantine;
+    const TimePoint end = kStart + kCrashesNeeded * 1s + first;
+    const std::vector<std::uint64_t> hashes{11, 22, 33, 44, 55, 66};
+    const auto senders = [&](TimePoint now) {
+      return std::ranges::count_if(hashes, [&](std::uint64_t own) {
+        std::vector<std::uint64_t> peers = hashes;
+        std::erase(peers, own);
+        return !FindQuarantine(quarantine, Request({5}, 9), own, peers, now).has_value();
+      });
+    };
+    BOOST_TEST(senders(end - 1ms) == 0);
+    BOOST_TEST(senders(end) == 1);
+    BOOST_TEST(senders(end + 1min) == 6);
+    if (is_mended) {
+      RecordAnswer(quarantine, Request({5}, 9), end + 1s);
+      BOOST_TEST(senders(end + 1s) == 6);
+    } else {
+      CrashWith(quarantine, 4, Request({5}, 9), end + 1s);
+      BOOST_TEST(senders(end + 1s + 2 * first - 1ms) == 0);
+      BOOST_TEST(senders(end + 1s + 2 * first) == 1);
+    }
+  }
+}
+
+// Guards against evidence that grows with the traffic.
+BOOST_AUTO_TEST_CASE(TheEvidenceIsBounded) {
+  CrashQuarantine quarantine;
+  TimePoint now = kStart;
+  for (std::uint32_t crash = 1; crash <= 200; ++crash, now += 1s) {
+    for (Trait request = 0; request < 20; ++request) {
+      const Trait first = crash * Trait{1000} + request * 10;
+      CrashWith(quarantine, crash, Request({first, first + 1, first + 2}, first + 3), now);
+      RecordAnswer(quarantine, Request({first + 4, first + 5}, first + 6), now);
+    }
+    BOOST_TEST(TakeEvidenceToSend(quarantine, now).size() <= 6U);
+  }
+  BOOST_TEST(quarantine.suspects.size() <= quarantine.settings.max_suspects);
+  BOOST_TEST(quarantine.begun.size() <= quarantine.settings.max_begun);
+  BOOST_TEST(quarantine.begun_by_trait.size() == quarantine.begun.size());
+  ExpireEvidence(quarantine, now + 1h);
+  while (!TakeEvidenceToSend(quarantine, now + 1h).empty()) {
+  }
+  ExpireEvidence(quarantine, now + 2h);
+  BOOST_TEST(quarantine.suspects.empty());
+}
+
+// A fleet of the design size, where each instance sends evidence to ten others every 200 ms.
+// The rule of the users allows several seconds from the fifth crash to the quarantine at all.
+BOOST_AUTO_TEST_CASE(AFleetOfFourHundredAgreesWithinTwoSeconds) {
+  constexpr std::size_t kInstances = 410;
+  constexpr std::size_t kTargets = 10;
+  std::vector<CrashQuarantine> fleet(kInstances);
+  std::mt19937_64 random(1);
+  std::uniform_int_distribution<std::size_t> pick(0, kInstances - 1);
+  TimePoint now = kStart;
+  for (std::uint32_t crash = 1; crash <= 5; ++crash) {
+    CrashWith(fleet[pick(random)], crash, Request({kCommonPart, kCrashingPart}, crash),
+              now + crash * 300ms);
+  }
+  now += 1500ms;
+  for (const TimePoint end = now + 2s; now < end; now += 200ms) {
+    for (CrashQuarantine& instance : fleet) {
+      const std::vector<CrashEvidence> evidence = TakeEvidenceToSend(instance, now);
+      for (std::size_t target = 0; target < kTargets && !evidence.empty(); ++target) {
+        MergeEvidence(fleet[pick(random)], evidence, now);
+      }
+    }
+  }
+  BOOST_TEST(std::ranges::all_of(fleet, [now](const CrashQuarantine& instance) {
+    return Refuses(instance, Request({kCrashingPart}, 99), now);
+  }));
+}
+
+}  // namespace
+}  // namespace geraniumspread::dispatch
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "edge/internal/crash_watch.h"
 #include "edge/internal/event_splitter.h"
 
 namespace geraniumspread::edge::detail {
@@ -11,6 +12,7 @@
 using observability::LogEvent;
 using observability::LogLevel;
 using transport::ExchangePhase;
+using transport::TransportErrorCode;
 
 // Covers a lost SYN packet only on a short path. A failed connect has sent nothing, so
 // another upstream can take the request.
@@ -29,6 +31,9 @@
 // opens a new connection unless data arrived from the upstream this recently.
 constexpr Duration kMaxIdleBeforeReuse = std::chrono::milliseconds(250);
 constexpr int kFirstFailureStatus = 500;
+// A request that crashes its upstream does so within this time after its first event.
+constexpr Duration kCrashTime = std::chrono::seconds(1);
+constexpr std::string_view kCallerGone = "caller_gone";
 
 transport::ExchangeTimeouts TimeoutsOf(const RequestRun& run) {
   const Duration remaining = Remaining(run);
@@ -103,41 +108,50 @@
     dispatch::RecordConnectFailure(upstream.health, now);
   } else {
     attempt.result = AttemptResult::kOutcomeUnknown;
+    attempt.connection_lost = error.code == TransportErrorCode::kConnectionClosed;
     dispatch::RecordAttemptFailure(upstream.health, now);
   }
   return attempt;
 }
 
-// Relays the rest of a stream. Returns the reason for a failure, or an empty string if the
-// stream is complete.
-asio::awaitable<std::string> RelayEvents(RequestRun& run,
-                                         transport::HttpExchange& exchange,
-                                         dispatch::RunningRequest& running,
-                                         const transport::HttpResponse& head,
-                                         const UpstreamAnswer& answer,
-                                         transport::HttpResponder& responder) {
+// How a stream ended.
+struct StreamEnd {
+  // Empty if the stream is complete.
+  std::string failure;
+  bool connection_lost = false;
+};
+
+// Relays the rest of a stream.
+asio::awaitable<StreamEnd> RelayEvents(RequestRun& run,
+                                       transport::HttpExchange& exchange,
+                                       dispatch::RunningRequest& running,
+                                       const transport::HttpResponse& head,
+                                       const UpstreamAnswer& answer,
+                                       transport::HttpResponder& responder) {
   EventSplitter splitter;
   splitter.last_id = run.last_event_id;
   splitter.skip_through = run.last_event_id;
   const Duration event_timeout = TimeoutsOf(run).between_bytes;
   TimePoint last_event_at = RuntimeClock::now();
+  std::optional<TimePoint> first_event_at;
   while (true) {
     auto bytes = co_await exchange.ReadSome();
     if (!bytes) {
-      co_return std::string(transport::ToString(bytes.error().code));
+      const bool connection_lost = bytes.error().code == TransportErrorCode::kConnectionClosed;
+      co_return StreamEnd{std::string(transport::ToString(bytes.error().code)), connection_lost};
     }
     const TimePoint now = RuntimeClock::now();
     run.active_upstream->last_received_at = now;
     const bool at_end = bytes.value().empty();
     const std::string events = ExtractEvents(splitter, bytes.value());
     if (splitter.too_large) {
-      co_return "event_too_large";
+      co_return StreamEnd{"event_too_large"};
     }
     if (events.empty() && !at_end) {
       // Only whole events count as progress, since a stalled upstream may still send single
       // bytes.
       if (now - last_event_at > event_timeout) {
-        co_return "no_event_in_time";
+        co_return StreamEnd{"no_event_in_time"};
       }
       continue;
     }
@@ -145,8 +159,19 @@
       run.edge->metrics.ObserveTime("geranium_pause_seconds", now - last_event_at);
     }
     last_event_at = now;
+    if (at_end && !first_event_at && events.empty() && exchange.EndsWithConnection()) {
+      // An upstream that crashes also ends the connection.
+      co_return StreamEnd{"connection_closed_before_first_event", true};
+    }
     if (!events.empty()) {
       running.RecordPrefillDone();
+      if (!first_event_at) {
+        first_event_at = now;
+        RecordAnswerBegin(run);
+      }
+      if (now - *first_event_at > kCrashTime) {
+        RecordAnswered(run);
+      }
     }
     if (!run.stream_started && (!events.empty() || at_end)) {
       run.stream_started = true;
@@ -154,18 +179,21 @@
                                     RuntimeClock::now() - run.started);
       transport::HttpHeaders headers = answer.caller_headers;
       if (!co_await responder.StartStream(head.status, std::move(headers))) {
-        co_return "caller_gone";
+        co_return StreamEnd{std::string(kCallerGone)};
       }
     }
     if (!events.empty() && !co_await responder.Write(events)) {
-      co_return "caller_gone";
+      co_return StreamEnd{std::string(kCallerGone)};
     }
     run.last_event_id = splitter.last_id;
     if (splitter.out_of_order) {
-      co_return "events_out_of_order";
+      co_return StreamEnd{"events_out_of_order"};
+    }
+    if (at_end && !splitter.pending.empty()) {
+      co_return StreamEnd{"partial_event_at_end", true};
     }
     if (at_end) {
-      co_return splitter.pending.empty() ? "" : "partial_event_at_end";
+      co_return StreamEnd{};
     }
   }
 }
@@ -178,14 +206,16 @@
                                      const UpstreamAnswer& answer,
                                      transport::HttpResponder& responder) {
   Attempt attempt;
-  attempt.reason = co_await RelayEvents(run, exchange, running, head, answer, responder);
+  StreamEnd end = co_await RelayEvents(run, exchange, running, head, answer, responder);
+  attempt.reason = std::move(end.failure);
+  attempt.connection_lost = end.connection_lost;
   if (attempt.reason.empty()) {
     dispatch::RecordAttemptSuccess(upstream.health, RuntimeClock::now());
     attempt.result =
         co_await responder.Finish() ? AttemptResult::kDelivered : AttemptResult::kStopped;
     co_return attempt;
   }
-  if (run.stopped != StopReason::kNone || attempt.reason == "caller_gone") {
+  if (run.stopped != StopReason::kNone || attempt.reason == kCallerGone) {
     attempt.result = AttemptResult::kStopped;
     co_return attempt;
   }
@@ -279,6 +309,16 @@
   }
 }
 
+// Records whether the upstream survived the request.
+void RecordOutcome(RequestRun& run, const dispatch::UpstreamRow& upstream, const Attempt& attempt) {
+  if (attempt.result == AttemptResult::kDelivered ||
+      attempt.result == AttemptResult::kFailedAnswer) {
+    RecordAnswered(run);
+  } else if (attempt.connection_lost) {
+    RecordLostConnection(run, upstream);
+  }
+}
+
 }  // namespace
 
 std::string_view ToString(AttemptResult result) {
@@ -335,6 +375,7 @@
       --run.sends;
       ++run.failed_connects;
     }
+    RecordOutcome(run, chosen.row, attempt);
     co_return attempt;
   }
   upstream.last_received_at = RuntimeClock::now();
@@ -349,6 +390,7 @@
     attempt = co_await DeliverResponse(run, upstream, exchange, head.value(), answer, responder);
   }
   run.active = nullptr;
+  RecordOutcome(run, chosen.row, attempt);
   co_return attempt;
 }
 
--- a/src/edge/internal/attempt.h
+++ b/src/edge/internal/attempt.h
@@ -32,6 +32,8 @@
   AttemptResult result = AttemptResult::kNotSent;
   std::string reason;
   std::optional<transport::HttpResponse> answer;
+  // The upstream closed the connection before the response was complete.
+  bool connection_lost = false;
 };
 
 // Sends the request to one upstream and passes a usable response on to the caller.
--- /dev/null
+++ b/src/edge/internal/crash_watch.cc
@@ -0,0 +1,133 @@
+#include "edge/internal/crash_watch.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "edge/internal/peer_codec.h"
+#include "edge/internal/peer_exchange.h"
+
+namespace geraniumspread::edge::detail {
+namespace {
+
+namespace asio = boost::asio;
+using observability::LogEvent;
+using observability::LogLevel;
+
+// A process that is gone refuses a connection within one round trip. A slower answer proves
+// nothing.
+constexpr Duration kCheckTimeout = std::chrono::milliseconds(250);
+// If the connections to more upstreams are lost at once, the network is at fault.
+constexpr std::size_t kMaxChecks = 16;
+// Evidence is repeated at this interval for peers that missed it.
+constexpr Duration kResendInterval = std::chrono::seconds(2);
+
+void LogChange(EdgeState& edge, const dispatch::QuarantineChange& change, std::string_view source) {
+  for (const dispatch::Trait trait : change.began) {
+    const auto suspect = edge.crashes.suspects.find(trait);
+    if (suspect == edge.crashes.suspects.end()) {
+      continue;
+    }
+    const Duration length =
+        dispatch::QuarantineEnd(edge.crashes.settings, suspect->second) - RuntimeClock::now();
+    LogEvent(LogLevel::kWarn, "request_trait_quarantined",
+             {{"trait", Hexadecimal(trait)},
+              {"quarantines", suspect->second.quarantines},
+              {"remaining_ms", Milliseconds(length)},
+              {"source", source}});
+    edge.metrics.Count("geranium_trait_quarantines_total");
+  }
+  for (const dispatch::Trait trait : change.ended) {
+    LogEvent(LogLevel::kInfo, "request_trait_released",
+             {{"trait", Hexadecimal(trait)}, {"reason", "answered"}, {"source", source}});
+  }
+}
+
+void RecordUpstreamCrash(EdgeState& edge,
+                         const dispatch::Upstream& upstream,
+                         const LostConnections& lost) {
+  LogEvent(LogLevel::kWarn, "upstream_crashed",
+           {{"upstream", upstream.listing.id},
+            {"started_at_ms", upstream.listing.started_at_ms},
+            {"unanswered_requests", lost.requests.size()}});
+  edge.metrics.Count("geranium_upstream_crashes_total");
+  const auto change = dispatch::RecordCrash(
+      edge.crashes, {dispatch::ProcessKey(upstream.listing), lost.at}, lost.requests);
+  LogChange(edge, change, "own");
+  SendCrashEvidence(edge);
+}
+
+asio::awaitable<void> CheckForCrash(Edge edge, dispatch::UpstreamRow upstream) {
+  const auto endpoint = transport::ParseEndpoint(upstream->listing.address);
+  const auto error =
+      endpoint ? co_await transport::TryConnect(edge->io.get_executor(), *endpoint, kCheckTimeout)
+               : std::nullopt;
+  const auto lost = edge->lost_connections.extract(upstream);
+  if (error == transport::TransportErrorCode::kConnectFailed && !lost.empty()) {
+    RecordUpstreamCrash(*edge, *upstream, lost.mapped());
+  }
+}
+
+}  // namespace
+
+void RecordLostConnection(RequestRun& run, const dispatch::UpstreamRow& upstream) {
+  if (run.is_answered) {
+    return;
+  }
+  EdgeState& edge = *run.edge;
+  const bool is_first = !edge.lost_connections.contains(upstream);
+  if (is_first && edge.lost_connections.size() >= kMaxChecks) {
+    return;
+  }
+  LostConnections& lost = edge.lost_connections[upstream];
+  if (is_first) {
+    lost.at = RuntimeClock::now();
+    asio::co_spawn(edge.io, CheckForCrash(run.edge, upstream), asio::detached);
+  }
+  lost.requests.push_back(run.traits);
+}
+
+void RecordAnswerBegin(RequestRun& run) {
+  dispatch::RecordBegin(run.edge->crashes, run.traits);
+}
+
+void RecordAnswered(RequestRun& run) {
+  if (!run.is_answered) {
+    run.is_answered = true;
+    LogChange(*run.edge, dispatch::RecordAnswer(run.edge->crashes, run.traits, RuntimeClock::now()),
+              "own");
+  }
+}
+
+std::optional<dispatch::QuarantineHit> FindQuarantine(const RequestRun& run) {
+  const EdgeState& edge = *run.edge;
+  return dispatch::FindQuarantine(edge.crashes, run.traits, StableHash(edge.settings.address),
+                                  dispatch::PeerHashes(edge.peers), RuntimeClock::now());
+}
+
+void SendCrashEvidence(EdgeState& edge) {
+  const auto evidence = dispatch::TakeEvidenceToSend(edge.crashes, RuntimeClock::now());
+  if (!evidence.empty()) {
+    SendToPeers(edge, EncodeCrashEvidence(evidence));
+  }
+}
+
+bool ReceiveCrashEvidence(EdgeState& edge, std::string_view bytes, std::string_view sender) {
+  const auto evidence = DecodeCrashEvidence(bytes);
+  if (!evidence) {
+    return false;
+  }
+  LogChange(edge, dispatch::MergeEvidence(edge.crashes, *evidence, RuntimeClock::now()), sender);
+  return true;
+}
+
+void TickCrashEvidence(EdgeState& edge) {
+  const TimePoint now = RuntimeClock::now();
+  if (edge.evidence_resent_at + kResendInterval <= now) {
+    edge.evidence_resent_at = now;
+    dispatch::ResendEvidence(edge.crashes, now);
+  }
+  SendCrashEvidence(edge);
+  dispatch::ExpireEvidence(edge.crashes, now);
+}
+
+}  // namespace geraniumspread::edge::detail
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "edge/internal/crash_watch.h"
 #include "edge/internal/edge_state.h"
 #include "edge/internal/peer_exchange.h"
 #include "edge/internal/published_feed.h"
@@ -103,6 +104,7 @@
                                   RuntimeClock::now());
   ExpireHeldRemovals(*edge);
   SendDigests(*edge);
+  TickCrashEvidence(*edge);
   PullIfBehind(edge);
   if (edge->stopping) {
     FinishStopIfDrained(*edge);
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -1,17 +1,23 @@
 #ifndef EDGE_INTERNAL_EDGE_STATE_H_
 #define EDGE_INTERNAL_EDGE_STATE_H_
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <charconv>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <random>
 #include <span>
+#include <string>
+#include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 #include "common/hash.h"
 #include "common/runtime_timer.h"
+#include "dispatch/crash_quarantine.h"
 #include "dispatch/freshness.h"
 #include "dispatch/peer_table.h"
 #include "dispatch/published_state.h"
@@ -29,6 +35,12 @@
 
 struct RequestRun;
 
+// Requests that lost their connection to an upstream while it is checked whether it crashed.
+struct LostConnections {
+  TimePoint at;
+  std::vector<dispatch::RequestTraits> requests;
+};
+
 struct EdgeState {
   EdgeState(boost::asio::io_context& context, EdgeSettings edge_settings, PlatformCodec platform)
       : io(context),
@@ -48,6 +60,9 @@
   dispatch::UpstreamTable upstreams;
   dispatch::PeerTable peers;
   dispatch::RetryBudgetShare retries;
+  dispatch::CrashQuarantine crashes;
+  std::unordered_map<dispatch::UpstreamRow, LostConnections> lost_connections;
+  TimePoint evidence_resent_at;
   // Requests in flight.
   std::unordered_set<RequestRun*> runs;
   dispatch::StoreOutage store_outage;
@@ -90,6 +105,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// For ids in log lines.
+inline std::string Hexadecimal(std::uint64_t number) {
+  constexpr int kBase = 16;
+  std::array<char, kBase> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, kBase);
+  return {digits.data(), end.ptr};
+}
+
 // Returns the input for selecting an upstream now for a request without a prompt.
 // `rules` and `peer_hashes` must outlive the result.
 inline dispatch::SelectionRequest MakeSelectionRequest(const EdgeState& edge,
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -20,6 +20,9 @@
 
 constexpr unsigned kDigestVersion = 2;
 constexpr std::size_t kDigestFields = 12;
+// Begins crash evidence, and can't begin a digest.
+constexpr std::string_view kCrashEvidenceMarker = "crashes-1";
+constexpr std::size_t kCrashEvidenceFields = 2;
 constexpr unsigned kLeaving = 1;
 constexpr unsigned kReadsStore = 2;
 // Fits one packet on a link with the usual MTU.
@@ -114,6 +117,38 @@
   return reports;
 }
 
+std::int64_t WholeMilliseconds(Duration age) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(age, Duration{0})).count();
+}
+
+// Throws on an age of more than a day, where sums of times could overflow.
+Duration DecodeLongAge(const Cbor& value) {
+  constexpr Duration kMaxAge = std::chrono::hours(24);
+  const Duration age = std::chrono::milliseconds(Number<std::uint32_t>(value));
+  if (age > kMaxAge) {
+    throw std::out_of_range("an age of more than a day");
+  }
+  return age;
+}
+
+dispatch::CrashEvidence DecodeCrashRow(const Cbor& row) {
+  dispatch::CrashEvidence evidence;
+  evidence.trait = Number<std::uint64_t>(row.at(0));
+  if (!row.at(1).is_null()) {
+    evidence.answer_age = DecodeLongAge(row.at(1));
+  }
+  evidence.has_begun = row.at(2).get<bool>();
+  evidence.depth = Number<std::uint32_t>(row.at(3));
+  evidence.quarantines = Number<std::uint32_t>(row.at(4));
+  evidence.quarantine_age = DecodeLongAge(row.at(5));
+  const Cbor& crashes = row.at(6);
+  for (std::size_t index = 0; index < crashes.size(); index += 2) {
+    evidence.crashes.push_back(
+        {Number<std::uint32_t>(crashes.at(index)), DecodeLongAge(crashes.at(index + 1))});
+  }
+  return evidence;
+}
+
 StateTransfer DecodeText(std::string_view text) {
   const json::object object = Parse(text);
   StateTransfer transfer;
@@ -202,6 +237,48 @@
   }
 }
 
+// Crash evidence is a CBOR array of a marker and one row a trait: trait, age of the answer or
+// null, whether an answer has begun, depth, number of quarantines, age of the last one, a flat
+// array of crashes (process, age). Ages are in milliseconds.
+std::string EncodeCrashEvidence(const std::vector<dispatch::CrashEvidence>& evidence) {
+  Cbor rows = Cbor::array();
+  for (const dispatch::CrashEvidence& entry : evidence) {
+    Cbor crashes = Cbor::array();
+    for (const dispatch::CrashEvidence::Row& crash : entry.crashes) {
+      crashes.insert(crashes.end(), {crash.process, WholeMilliseconds(crash.age)});
+    }
+    const Cbor answer_age =
+        entry.answer_age ? Cbor(WholeMilliseconds(*entry.answer_age)) : Cbor(nullptr);
+    rows.push_back(
+        Cbor::array({entry.trait, answer_age, entry.has_begun, entry.depth, entry.quarantines,
+                     WholeMilliseconds(entry.quarantine_age), std::move(crashes)}));
+  }
+  std::string bytes;
+  Cbor::to_cbor(Cbor::array({kCrashEvidenceMarker, std::move(rows)}), bytes);
+  return bytes;
+}
+
+std::optional<std::vector<dispatch::CrashEvidence>> DecodeCrashEvidence(std::string_view bytes) {
+  if (bytes.size() > kMaxDigestBytes) {
+    return std::nullopt;
+  }
+  // The accessors throw on other messages.
+  try {
+    const Cbor message = Cbor::from_cbor(bytes);
+    if (message.size() != kCrashEvidenceFields ||
+        message.at(0).get<std::string>() != kCrashEvidenceMarker) {
+      return std::nullopt;
+    }
+    std::vector<dispatch::CrashEvidence> evidence;
+    for (const Cbor& row : message.at(1)) {
+      evidence.push_back(DecodeCrashRow(row));
+    }
+    return evidence;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::string EncodeTransfer(const StateTransfer& transfer) {
   json::array items;
   for (const dispatch::PublishedItem& item : transfer.items) {
--- a/src/edge/internal/peer_codec.h
+++ b/src/edge/internal/peer_codec.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dispatch/crash_quarantine.h"
 #include "dispatch/peer_table.h"
 #include "dispatch/published_state.h"
 
@@ -15,6 +16,10 @@
 std::string EncodeDigest(const dispatch::PeerDigest& digest);
 std::optional<dispatch::PeerDigest> DecodeDigest(std::string_view bytes);
 
+// A datagram of its own, so that instances of other versions can still read the digests.
+std::string EncodeCrashEvidence(const std::vector<dispatch::CrashEvidence>& evidence);
+std::optional<std::vector<dispatch::CrashEvidence>> DecodeCrashEvidence(std::string_view bytes);
+
 // Largest transfer, compressed or not. The platform's values are at most 1 MB each.
 inline constexpr std::size_t kMaxStateBytes = std::size_t{16} << 20U;
 
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 
+#include "edge/internal/crash_watch.h"
 #include "edge/internal/peer_codec.h"
 #include "edge/internal/published_feed.h"
 
@@ -137,9 +138,14 @@
     if (error) {
       continue;
     }
-    const auto digest = DecodeDigest(std::string_view(buffer).substr(0, count));
+    const std::string_view bytes = std::string_view(buffer).substr(0, count);
+    const std::string address = sender.address().to_string();
+    if (edge->peers.peers.contains(address) && ReceiveCrashEvidence(*edge, bytes, address)) {
+      continue;
+    }
+    const auto digest = DecodeDigest(bytes);
     // Accept a digest only from the address that it describes.
-    if (!digest || digest->address != sender.address().to_string()) {
+    if (!digest || digest->address != address) {
       edge->metrics.Count("geranium_digests_refused_total");
       continue;
     }
@@ -150,6 +156,7 @@
     const auto change =
         dispatch::ApplyDigest(edge->peers, edge->upstreams, *digest, RuntimeClock::now());
     if (change != dispatch::PeerChange::kNone) {
+      dispatch::ResendEvidence(edge->crashes, RuntimeClock::now());
       LogEvent(LogLevel::kInfo, "peer",
                {{"peer", digest->instance},
                 {"change", ToString(change)},
@@ -162,7 +169,10 @@
 }
 
 void SendDigests(EdgeState& edge) {
-  const std::string bytes = EncodeDigest(MakeDigest(edge));
+  SendToPeers(edge, EncodeDigest(MakeDigest(edge)));
+}
+
+void SendToPeers(EdgeState& edge, const std::string& bytes) {
   std::vector<std::string> targets =
       dispatch::DigestTargets(edge.peers, edge.reads_store, edge.random, RuntimeClock::now());
   for (const std::string& seed : edge.settings.seed_addresses) {
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -1,13 +1,12 @@
 #include "edge/internal/request_run.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <cmath>
 #include <span>
 
 #include "common/hash.h"
 #include "edge/internal/attempt.h"
+#include "edge/internal/crash_watch.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -121,14 +120,9 @@
 // suggest that this part is the cause.
 std::string DescribeSharedParts(const dispatch::Prompt& prompt) {
   constexpr std::size_t kShown = 8;
-  constexpr int kHexadecimal = 16;
-  constexpr std::size_t kMaxDigits = 16;
   std::string text;
   for (std::size_t index = 0; index + 1 < prompt.parts.size() && index < kShown; ++index) {
-    std::array<char, kMaxDigits> digits{};
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
-                                   prompt.parts[index].id, kHexadecimal);
-    text.append(index == 0 ? "" : " ").append(digits.data(), end.ptr);
+    text.append(index == 0 ? "" : " ").append(Hexadecimal(prompt.parts[index].id));
   }
   return text;
 }
@@ -202,9 +196,16 @@
 asio::awaitable<void> RunAttempts(RequestRun& run, transport::HttpResponder& responder) {
   const std::vector<std::uint64_t> peer_hashes = dispatch::PeerHashes(run.edge->peers);
   std::optional<transport::HttpResponse> failed_answer;
+  std::optional<dispatch::QuarantineHit> quarantine;
   std::string code = "no_upstream";
   std::string reason;
   while (run.stopped == StopReason::kNone) {
+    quarantine = FindQuarantine(run);
+    if (quarantine) {
+      code = "quarantined";
+      reason = "requests with the trait " + Hexadecimal(quarantine->trait) + " crash upstreams";
+      break;
+    }
     const dispatch::Selection selection = Select(run, peer_hashes);
     if (selection.candidates.empty()) {
       reason = reason.empty() ? std::string(dispatch::ToString(selection.failure)) : reason;
@@ -235,9 +236,26 @@
     co_return;
   }
   Refusal refusal = FinalRefusal(run, code, std::move(reason));
+  if (quarantine && refusal.ran == RunState::kNotRun) {
+    refusal.retry_after = quarantine->remaining;
+  }
   co_await Refuse(*run.edge, run.request.id, std::move(refusal), responder);
 }
 
+dispatch::RequestTraits TraitsOf(const RequestRun& run) {
+  const CallerRequest& request = run.request;
+  std::uint64_t hash = StableHash(request.method);
+  for (const std::string_view text :
+       {std::string_view(request.target), std::string_view(run.workspace.name),
+        std::string_view(request.body)}) {
+    hash = MixHash(hash, StableHash(text));
+  }
+  for (const dispatch::PromptPart& part : request.prompt.parts) {
+    hash = MixHash(hash, part.id);
+  }
+  return {dispatch::SharedPartIds(request.prompt), hash};
+}
+
 void ArmExpiry(const std::shared_ptr<RequestRun>& run) {
   run->expiry.expires_at(run->ends_at);
   run->expiry.async_wait([weak = std::weak_ptr(run)](const boost::system::error_code& error) {
@@ -330,6 +348,7 @@
   run->ends_at =
       started + std::min(run->request.deadline.value_or(run->route.timeout), run->route.timeout);
   run->last_event_id = run->request.last_event_id;
+  run->traits = TraitsOf(*run);
   ArmExpiry(run);
   responder.OnDisconnect([weak = std::weak_ptr(run)] {
     if (const auto current = weak.lock(); current) {
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -31,6 +31,9 @@
   TimePoint started;
   TimePoint ends_at;
   RuntimeTimer expiry;
+  dispatch::RequestTraits traits;
+  // An upstream has answered the request and survived.
+  bool is_answered = false;
 
   // Upstreams already tried, including those that could not be reached.
   std::vector<std::string> tried;
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -55,6 +55,19 @@
           {"running", dispatch::EstimatedRunning(edge.upstreams, upstream, now)}};
 }
 
+json::array QuarantineRows(const dispatch::CrashQuarantine& quarantine, TimePoint now) {
+  json::array rows;
+  for (const auto& [trait, suspect] : quarantine.suspects) {
+    if (suspect.quarantines > 0) {
+      const TimePoint end = dispatch::QuarantineEnd(quarantine.settings, suspect);
+      rows.emplace_back(json::object{{"trait", Hexadecimal(trait)},
+                                     {"quarantines", suspect.quarantines},
+                                     {"remaining_ms", MillisecondsUntil(end, now)}});
+    }
+  }
+  return rows;
+}
+
 }  // namespace
 
 std::string StatusPage(const EdgeState& edge) {
@@ -87,6 +100,7 @@
                    {"domains_out", NamesOf(edge.upstreams.domains_out_of_service)},
                    {"domains_silent", NamesOf(edge.upstreams.domains_silent)},
                    {"requests_waiting", edge.runs.size()},
+                   {"quarantined", QuarantineRows(edge.crashes, now)},
                    {"peers", std::move(peers)},
                    {"upstreams", std::move(listed)}});
 }
--- a/src/edge/tests/edge_crash_test.cc
+++ b/src/edge/tests/edge_crash_test.cc
@@ -77,5 +77,24 @@
   BOOST_TEST(run.crashing.status == 503);
 }
 
+// Guards against a quarantine after connections that an upstream resets while it lives on.
+BOOST_AUTO_TEST_CASE(ResetConnectionsOfALivingUpstreamAreNoCrash) {
+  EdgeFixture fixture;
+  fixture.AddUpstream({{"", test::Reply::Then::kReset}});
+  for (int request = 0; request < 4; ++request) {
+    BOOST_TEST(fixture.Call("/order/1", {{"X-Parts", "1,2,3"}}).value().status == 502);
+    fixture.RunFor(300ms);
+  }
+}
+
+// Guards against taking a crash for the end of a stream without a length: the connection ends
+// after the head, before any event.
+BOOST_AUTO_TEST_CASE(AStreamWithoutEventsThatEndsWithItsConnectionIsNotComplete) {
+  EdgeFixture fixture;
+  fixture.AddUpstream(
+      {{"HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\n\r\n", test::Reply::Then::kClose}});
+  BOOST_TEST(fixture.Call("/stream/1").value().status == 502);
+}
+
 }  // namespace
 }  // namespace geraniumspread::edge
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -96,6 +96,57 @@
   }
 }
 
+std::vector<dispatch::CrashEvidence> SampleEvidence() {
+  dispatch::CrashEvidence evidence{0xfab0ad8b3e5cULL};
+  evidence.crashes = {{7, 1500ms}, {8, 20ms}};
+  evidence.has_begun = true;
+  evidence.depth = 3;
+  evidence.answer_age = 90s;
+  evidence.quarantines = 2;
+  evidence.quarantine_age = 10min;
+  return {evidence, dispatch::CrashEvidence{5}};
+}
+
+BOOST_AUTO_TEST_CASE(CrashEvidenceIsReadBack) {
+  const auto read = DecodeCrashEvidence(EncodeCrashEvidence(SampleEvidence()))
+                        .value_or(std::vector<dispatch::CrashEvidence>{});
+  BOOST_REQUIRE(read.size() == 2U);
+  const dispatch::CrashEvidence& first = read.front();
+  BOOST_TEST(first.trait == 0xfab0ad8b3e5cULL);
+  BOOST_REQUIRE(first.crashes.size() == 2U);
+  BOOST_TEST(first.crashes.front().process == 7U);
+  BOOST_TEST((first.crashes.front().age == 1500ms));
+  BOOST_TEST(first.has_begun);
+  BOOST_TEST(first.depth == 3U);
+  BOOST_TEST((first.answer_age == 90s));
+  BOOST_TEST(first.quarantines == 2U);
+  BOOST_TEST((first.quarantine_age == 10min));
+  BOOST_TEST(!read.back().answer_age.has_value());
+}
+
+// Instances of an earlier version know only digests, which are unchanged.
+BOOST_AUTO_TEST_CASE(DigestsAndCrashEvidenceAreToldApart) {
+  BOOST_TEST(!DecodeDigest(EncodeCrashEvidence(SampleEvidence())).has_value());
+  BOOST_TEST(!DecodeCrashEvidence(EncodeDigest(SampleDigest())).has_value());
+}
+
+// Guards against a process that ends because of one malformed datagram.
+BOOST_AUTO_TEST_CASE(MalformedCrashEvidenceIsDropped) {
+  const std::string good = EncodeCrashEvidence(SampleEvidence());
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 20'000; ++round) {
+    std::string bytes = good;
+    for (std::uint64_t change = random() % 4 + 1; change > 0; --change) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+    for (const auto& evidence :
+         DecodeCrashEvidence(bytes).value_or(std::vector<dispatch::CrashEvidence>{})) {
+      BOOST_TEST_REQUIRE((evidence.quarantine_age <= 24h));
+    }
+  }
+}
+
 StateTransfer SampleTransfer(std::size_t value_bytes) {
   StateTransfer transfer;
   transfer.revision = 9;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "transport/transport_types.h"
@@ -63,6 +64,8 @@
   void Cancel();
   ExchangePhase Phase() const;
   bool UsedPooledConnection() const;
+  // True if only the end of the connection marks the end of the answer's body.
+  bool EndsWithConnection() const;
   // Returns nullopt for a reused connection or one that was not opened.
   std::optional<Duration> ConnectTime() const;
 
@@ -70,6 +73,12 @@
   std::shared_ptr<detail::Connection> connection;
 };
 
+// Opens a connection and closes it again. Returns the error if that fails.
+boost::asio::awaitable<std::optional<TransportErrorCode>> TryConnect(
+    boost::asio::any_io_executor executor,
+    Endpoint endpoint,
+    Duration timeout);
+
 // Sends a request and reads the whole answer.
 boost::asio::awaitable<Result<HttpResponse>> Fetch(HttpConnectionPool& pool,
                                                    Endpoint endpoint,
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -316,6 +316,10 @@
   return this->connection->connect_time;
 }
 
+bool HttpExchange::EndsWithConnection() const {
+  return this->connection->parser != nullptr && this->connection->parser->need_eof();
+}
+
 bool HttpExchange::UsedPooledConnection() const {
   return this->connection->pooled;
 }
@@ -405,6 +409,27 @@
   }
 }
 
+boost::asio::awaitable<std::optional<TransportErrorCode>>
+TryConnect(boost::asio::any_io_executor executor, Endpoint endpoint, Duration timeout) {
+  detail::Tcp::socket socket(executor);
+  detail::Deadline deadline(executor, socket);
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(endpoint.address, error);
+  if (error) {
+    co_return TransportErrorCode::kConnectFailed;
+  }
+  deadline.Arm(timeout);
+  std::tie(error) = co_await socket.async_connect(detail::Tcp::endpoint(address, endpoint.port),
+                                                  detail::kAwaitTuple);
+  if (deadline.Expired()) {
+    co_return TransportErrorCode::kTimedOut;
+  }
+  if (error) {
+    co_return TransportErrorCode::kConnectFailed;
+  }
+  co_return std::nullopt;
+}
+
 boost::asio::awaitable<Result<HttpResponse>> Fetch(HttpConnectionPool& pool,
                                                    Endpoint endpoint,
                                                    HttpRequest request,
