--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -109,6 +109,9 @@
   std::optional<Duration> retry_after;
   // Set if the Retry-After value is malformed or was capped.
   std::string_view retry_after_error;
+  // Requests per second that the upstream accepts from all instances together, as long as its
+  // responses say so.
+  std::optional<double> requests_per_second;
   std::optional<std::uint32_t> running;
   std::optional<std::uint32_t> waiting;
   std::optional<Duration> cold_left;
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -67,6 +67,13 @@
               {"request_id", run.request.id},
               {"published_revision", run.edge->published.revision}});
   }
+  if (answer.requests_per_second) {
+    LogEvent(LogLevel::kInfo, "upstream_limit",
+             {{"upstream", upstream.listing.id},
+              {"started_at_ms", upstream.listing.started_at_ms},
+              {"request_id", run.request.id},
+              {"requests_per_second", *answer.requests_per_second}});
+  }
   if (answer.retry_after) {
     dispatch::RecordPause(upstream, *answer.retry_after, RuntimeClock::now());
   }
