--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -90,6 +90,9 @@
     std::from_chars(pause.data(), pause.data() + pause.size(), milliseconds);
     answer.retry_after = std::chrono::milliseconds(milliseconds);
   }
+  if (const auto limit = FindHeader(response.headers, "X-Limit"); !limit.empty()) {
+    answer.requests_per_second = std::stod(std::string(limit));
+  }
   answer.caller_headers = response.headers;
   return answer;
 }
