Keep to the limit that an upstream names, over all instances

Class: a statement of an upstream that has no place in the selection. The same was looked for elsewhere: of what upstreams say in answers, leaving, Retry-After, cold time and load are used.

The newest answer of an upstream decides what is believed. An answer without a limit ends it only if its request was sent after the last answer with one, as answers overtake each other. Each instance sends at most its share in any 4 s: the whole divided by the instances, the rest to the first of the upstream's rendezvous order, so that also a limit below one request an instance is kept and used. The first of the order always sends one, so that the end is noticed. News goes to the peers in a datagram of its own, at most eight upstreams every 200 ms, and only while limits are named. Without any answer the assumed limit doubles each 10 s, so nothing is shut out for ever.

--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/hash.h"
+#include "dispatch/named_limits.h"
 
 namespace geraniumspread::dispatch {
 namespace {
@@ -60,6 +61,12 @@
                            RendezvousRank(request, upstream), upstream.cold_sends, request.now);
 }
 
+bool NamedLimitAllows(const SelectionRequest& request, Upstream& upstream) {
+  return !upstream.limit.requests_per_second ||
+         IsWithinNamedLimit(upstream, request.instances, RendezvousRank(request, upstream),
+                            request.now);
+}
+
 bool IsFull(const Upstream& upstream, std::uint32_t running, bool is_engine) {
   const std::uint32_t places = upstream.listing.slots * (is_engine ? 1 : kPlainQueueFactor);
   return running >= places;
@@ -194,6 +201,8 @@
       return "all_upstreams_tried";
     case SelectionFailure::kAllPaused:
       return "all_upstreams_want_a_pause";
+    case SelectionFailure::kAllLimited:
+      return "limits_of_upstreams_reached";
     case SelectionFailure::kAllCold:
       return "cold_limit_reached";
     case SelectionFailure::kAllUnreachable:
@@ -268,6 +277,8 @@
       reached(SelectionFailure::kAllTried);
     } else if (IsPaused(*row, request.now)) {
       reached(SelectionFailure::kAllPaused);
+    } else if (!NamedLimitAllows(request, *row)) {
+      reached(SelectionFailure::kAllLimited);
     } else if (!ColdLimitAllows(settings, request, *row)) {
       reached(SelectionFailure::kAllCold);
     } else if (request.now < row->health.avoid_until) {
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -63,6 +63,7 @@
   kNoneInService,
   kAllTried,
   kAllPaused,
+  kAllLimited,
   kAllCold,
   kAllUnreachable,
   kAllFull,
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -63,6 +63,19 @@
   TimePoint pause_until;
 };
 
+// Limit of requests per second, over all instances, that an upstream names in its answers.
+struct NamedLimit {
+  // Unset while no limit is known.
+  std::optional<double> requests_per_second;
+  // When the newest answer that this belief follows from arrived, here or at a peer.
+  TimePoint heard_at;
+  // What peers were last told, by `heard_at`, and the number of messages that still carry it.
+  TimePoint told_at;
+  std::uint32_t sends_left = 0;
+  // Requests that this instance sent to the upstream.
+  SlidingCount sends;
+};
+
 struct Upstream {
   UpstreamListing listing;
   AnnouncedState announced;
@@ -84,6 +97,7 @@
   TimePoint last_received_at;
   PromptCacheModel prompt_cache;
   SlidingCount cold_sends;
+  NamedLimit limit;
 };
 
 // Load that the other instances have at one upstream.
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 
+#include "dispatch/named_limits.h"
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/event_splitter.h"
+#include "edge/internal/limit_exchange.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -51,11 +53,12 @@
   return timeouts;
 }
 
-// Applies what the upstream reports about its availability: that it is shutting down or
-// rejects requests for a time. Ignores responses of other processes.
+// Applies what the upstream reports about its availability: that it is shutting down, rejects
+// requests for a time, or accepts a limited rate. Ignores responses of other processes.
 void ApplyAvailability(RequestRun& run,
                        dispatch::Upstream& upstream,
-                       const UpstreamAnswer& answer) {
+                       const UpstreamAnswer& answer,
+                       TimePoint sent_at) {
   if (answer.wrong_upstream) {
     return;
   }
@@ -67,12 +70,9 @@
               {"request_id", run.request.id},
               {"published_revision", run.edge->published.revision}});
   }
-  if (answer.requests_per_second) {
-    LogEvent(LogLevel::kInfo, "upstream_limit",
-             {{"upstream", upstream.listing.id},
-              {"started_at_ms", upstream.listing.started_at_ms},
-              {"request_id", run.request.id},
-              {"requests_per_second", *answer.requests_per_second}});
+  if (dispatch::RecordNamedLimit(upstream, answer.requests_per_second, sent_at,
+                                 RuntimeClock::now())) {
+    LogLimitChange(upstream, run.request.id);
   }
   if (answer.retry_after) {
     dispatch::RecordPause(upstream, *answer.retry_after, RuntimeClock::now());
@@ -309,6 +309,7 @@
     dispatch::RecordFirstSend(run.edge->retries, run.service.name, now);
   }
   ++run.sends;
+  dispatch::RecordLimitedSend(upstream, now);
   upstream.cold_sends.times.push_back(now);
   dispatch::CountWithin(upstream.cold_sends, std::chrono::seconds(1), now);
   if (run.service.is_engine) {
@@ -360,6 +361,7 @@
     co_return Attempt{AttemptResult::kNotSent, "bad_address", std::nullopt};
   }
   dispatch::RunningRequest running(chosen.row, chosen.uncached_tokens);
+  const TimePoint sent_at = RuntimeClock::now();
   RecordSend(run, chosen);
   transport::HttpExchange exchange(run.edge->connections, *endpoint, TimeoutsOf(run));
   UpstreamAnswer answer;
@@ -386,7 +388,7 @@
     co_return attempt;
   }
   upstream.last_received_at = RuntimeClock::now();
-  ApplyAvailability(run, upstream, answer);
+  ApplyAvailability(run, upstream, answer, sent_at);
   ApplyLoadReport(run, upstream, answer);
   const bool is_success = head.value().status >= 200 && head.value().status < 300;
   Attempt attempt;
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -8,6 +8,7 @@
 
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/edge_state.h"
+#include "edge/internal/limit_exchange.h"
 #include "edge/internal/peer_exchange.h"
 #include "edge/internal/published_feed.h"
 #include "edge/internal/request_run.h"
@@ -105,6 +106,7 @@
   ExpireHeldRemovals(*edge);
   SendDigests(*edge);
   TickCrashEvidence(*edge);
+  SendLimitNews(*edge);
   PullIfBehind(edge);
   if (edge->stopping) {
     FinishStopIfDrained(*edge);
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -5,6 +5,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <cmath>
 #include <functional>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -20,9 +21,11 @@
 
 constexpr unsigned kDigestVersion = 2;
 constexpr std::size_t kDigestFields = 12;
-// Begins crash evidence, and can't begin a digest.
+// Texts that begin the other datagrams. A digest begins with a number.
 constexpr std::string_view kCrashEvidenceMarker = "crashes-1";
-constexpr std::size_t kCrashEvidenceFields = 2;
+constexpr std::string_view kLimitNewsMarker = "limits-1";
+constexpr std::size_t kMarkedFields = 2;
+constexpr double kThousand = 1000;
 constexpr unsigned kLeaving = 1;
 constexpr unsigned kReadsStore = 2;
 // Fits one packet on a link with the usual MTU.
@@ -149,6 +152,45 @@
   return evidence;
 }
 
+std::uint32_t ToThousandths(double rate) {
+  constexpr double kMaxRate = 4e6;
+  return static_cast<std::uint32_t>(std::lround(std::clamp(rate, 0.0, kMaxRate) * kThousand));
+}
+
+dispatch::LimitNews DecodeLimitRow(const Cbor& row) {
+  dispatch::LimitNews news;
+  news.upstream_key = Number<std::uint32_t>(row.at(0));
+  if (!row.at(1).is_null()) {
+    news.requests_per_second = Number<std::uint32_t>(row.at(1)) / kThousand;
+  }
+  news.age = DecodeLongAge(row.at(2));
+  return news;
+}
+
+// Decodes the rows of a message that begins with `marker`. Returns nullopt for any other message.
+template <typename Row>
+std::optional<std::vector<Row>> DecodeMarked(std::string_view bytes,
+                                             std::string_view marker,
+                                             Row (*decode_row)(const Cbor& row)) {
+  if (bytes.size() > kMaxDigestBytes) {
+    return std::nullopt;
+  }
+  // The accessors throw on other messages.
+  try {
+    const Cbor message = Cbor::from_cbor(bytes);
+    if (message.size() != kMarkedFields || message.at(0).get<std::string>() != marker) {
+      return std::nullopt;
+    }
+    std::vector<Row> rows;
+    for (const Cbor& row : message.at(1)) {
+      rows.push_back(decode_row(row));
+    }
+    return rows;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 StateTransfer DecodeText(std::string_view text) {
   const json::object object = Parse(text);
   StateTransfer transfer;
@@ -259,24 +301,25 @@
 }
 
 std::optional<std::vector<dispatch::CrashEvidence>> DecodeCrashEvidence(std::string_view bytes) {
-  if (bytes.size() > kMaxDigestBytes) {
-    return std::nullopt;
-  }
-  // The accessors throw on other messages.
-  try {
-    const Cbor message = Cbor::from_cbor(bytes);
-    if (message.size() != kCrashEvidenceFields ||
-        message.at(0).get<std::string>() != kCrashEvidenceMarker) {
-      return std::nullopt;
-    }
-    std::vector<dispatch::CrashEvidence> evidence;
-    for (const Cbor& row : message.at(1)) {
-      evidence.push_back(DecodeCrashRow(row));
-    }
-    return evidence;
-  } catch (const std::exception&) {
-    return std::nullopt;
+  return DecodeMarked(bytes, kCrashEvidenceMarker, DecodeCrashRow);
+}
+
+// Limit news is a CBOR array of a marker and one row an upstream: key, thousandths of a request
+// per second or null, age in milliseconds.
+std::string EncodeLimitNews(const std::vector<dispatch::LimitNews>& news) {
+  Cbor rows = Cbor::array();
+  for (const dispatch::LimitNews& entry : news) {
+    const Cbor rate =
+        entry.requests_per_second ? Cbor(ToThousandths(*entry.requests_per_second)) : Cbor(nullptr);
+    rows.push_back(Cbor::array({entry.upstream_key, rate, WholeMilliseconds(entry.age)}));
   }
+  std::string bytes;
+  Cbor::to_cbor(Cbor::array({kLimitNewsMarker, std::move(rows)}), bytes);
+  return bytes;
+}
+
+std::optional<std::vector<dispatch::LimitNews>> DecodeLimitNews(std::string_view bytes) {
+  return DecodeMarked(bytes, kLimitNewsMarker, DecodeLimitRow);
 }
 
 std::string EncodeTransfer(const StateTransfer& transfer) {
--- a/src/edge/internal/peer_codec.h
+++ b/src/edge/internal/peer_codec.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dispatch/crash_quarantine.h"
+#include "dispatch/named_limits.h"
 #include "dispatch/peer_table.h"
 #include "dispatch/published_state.h"
 
@@ -16,9 +17,12 @@
 std::string EncodeDigest(const dispatch::PeerDigest& digest);
 std::optional<dispatch::PeerDigest> DecodeDigest(std::string_view bytes);
 
-// A datagram of its own, so that instances of other versions can still read the digests.
+// Evidence and news come in datagrams of their own, so that instances of other versions can
+// still read the digests.
 std::string EncodeCrashEvidence(const std::vector<dispatch::CrashEvidence>& evidence);
 std::optional<std::vector<dispatch::CrashEvidence>> DecodeCrashEvidence(std::string_view bytes);
+std::string EncodeLimitNews(const std::vector<dispatch::LimitNews>& news);
+std::optional<std::vector<dispatch::LimitNews>> DecodeLimitNews(std::string_view bytes);
 
 // Largest transfer, compressed or not. The platform's values are at most 1 MB each.
 inline constexpr std::size_t kMaxStateBytes = std::size_t{16} << 20U;
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 
 #include "edge/internal/crash_watch.h"
+#include "edge/internal/limit_exchange.h"
 #include "edge/internal/peer_codec.h"
 #include "edge/internal/published_feed.h"
 
@@ -140,7 +141,9 @@
     }
     const std::string_view bytes = std::string_view(buffer).substr(0, count);
     const std::string address = sender.address().to_string();
-    if (edge->peers.peers.contains(address) && ReceiveCrashEvidence(*edge, bytes, address)) {
+    const bool is_peer = edge->peers.peers.contains(address);
+    if (is_peer &&
+        (ReceiveCrashEvidence(*edge, bytes, address) || ReceiveLimitNews(*edge, bytes, address))) {
       continue;
     }
     const auto digest = DecodeDigest(bytes);
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -5,6 +5,7 @@
 #include <span>
 
 #include "common/hash.h"
+#include "dispatch/named_limits.h"
 #include "edge/internal/attempt.h"
 #include "edge/internal/crash_watch.h"
 
@@ -176,7 +177,11 @@
 // Returns the time after which the caller may retry when no upstream accepted the request.
 Duration RetryAfter(const RequestRun& run) {
   const TimePoint now = RuntimeClock::now();
-  const auto end = dispatch::EarliestPauseEnd(run.edge->upstreams, run.service.name, now);
+  const dispatch::UpstreamTable& upstreams = run.edge->upstreams;
+  auto end = dispatch::EarliestPauseEnd(upstreams, run.service.name, now);
+  if (!end) {
+    end = dispatch::EarliestLimitedSend(upstreams, run.service.name);
+  }
   return std::max(kBusyRetryAfter, end.value_or(now) - now);
 }
 
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -147,6 +147,35 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LimitNewsIsReadBack) {
+  const std::string bytes = EncodeLimitNews({{7, 2.5, 40ms}, {8, std::nullopt, 90s}});
+  const auto read = DecodeLimitNews(bytes).value_or(std::vector<dispatch::LimitNews>{});
+  BOOST_REQUIRE(read.size() == 2U);
+  BOOST_TEST(read.front().upstream_key == 7U);
+  BOOST_TEST(read.front().requests_per_second.value_or(0) == 2.5);
+  BOOST_TEST((read.front().age == 40ms));
+  BOOST_TEST(!read.back().requests_per_second.has_value());
+  BOOST_TEST((read.back().age == 90s));
+  BOOST_TEST(!DecodeDigest(bytes).has_value());
+  BOOST_TEST(!DecodeCrashEvidence(bytes).has_value());
+  BOOST_TEST(!DecodeLimitNews(EncodeCrashEvidence(SampleEvidence())).has_value());
+}
+
+// Guards against a rate that is not a finite number, and against a process that ends.
+BOOST_AUTO_TEST_CASE(MalformedLimitNewsIsDropped) {
+  BOOST_TEST(DecodeLimitNews(EncodeLimitNews({{7, 1e300, 0ms}})).has_value());
+  const std::string good = EncodeLimitNews({{7, 2.5, 40ms}, {8, std::nullopt, 90s}});
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 20'000; ++round) {
+    std::string bytes = good;
+    bytes[random() % bytes.size()] = static_cast<char>(random());
+    bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+    for (const auto& news : DecodeLimitNews(bytes).value_or(std::vector<dispatch::LimitNews>{})) {
+      BOOST_TEST_REQUIRE((news.age <= 24h));
+    }
+  }
+}
+
 StateTransfer SampleTransfer(std::size_t value_bytes) {
   StateTransfer transfer;
   transfer.revision = 9;
