Don't believe an answer without an id on a reused connection

It could happen here: an answer without an echoed id was taken for the answer to the current request on any connection. The test let an order run at one upstream, prefixed with a stale refusal (503 not run, or 421), and the order ran again at another one. Now such an answer is skipped on a reused connection, as one with another id is, and the real answer is read. On a new connection nothing can be stale, so an answer without an id still counts there.

edge_test ARefusalWithoutAnIdOnAReusedConnectionIsSkipped failed before.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -365,9 +365,12 @@
   RecordSend(run, chosen);
   transport::HttpExchange exchange(run.edge->connections, *endpoint, TimeoutsOf(run));
   UpstreamAnswer answer;
-  exchange.SkipUnmatchedAnswers([&run, &answer](const transport::HttpResponse& head) {
+  exchange.SkipUnmatchedAnswers([&](const transport::HttpResponse& head) {
     answer = run.edge->codec.decode_answer(head);
-    return answer.echoed_request_id.empty() || answer.echoed_request_id == run.request.id;
+    // On a reused connection an answer without an id may belong to an earlier request.
+    const bool may_lack_id = !exchange.UsedPooledConnection();
+    return answer.echoed_request_id == run.request.id ||
+           (may_lack_id && answer.echoed_request_id.empty());
   });
   run.active = &exchange;
   run.active_upstream = chosen.row;
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -178,6 +178,29 @@
   BOOST_TEST(fixture.Call("/lookup/2").value().body == "second");
 }
 
+// Guards against a stale refusal: on a reused connection an earlier refusal comes once more,
+// without an id, before the answer of a request that runs. The caller must not be told that the
+// request has not run, and no other upstream may get it.
+BOOST_AUTO_TEST_CASE(ARefusalWithoutAnIdOnAReusedConnectionIsSkipped) {
+  for (const std::string refusal :
+       {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"}) {
+    EdgeFixture fixture;
+    RawUpstream& upstream =
+        fixture.AddUpstream({Sealed("first"), {refusal + Sealed("second").bytes}});
+    BOOST_TEST(fixture.Call("/order/1").value().body == "first");
+    RawUpstream& other = fixture.AddUpstream({Sealed("other")});
+    for (int order = 0; order < 4 && upstream.requests.size() < 2; ++order) {
+      const auto answer = fixture.Call("/order/2").value();
+      BOOST_TEST(answer.status == 200);
+      BOOST_TEST((answer.body == "second" || upstream.requests.size() < 2));
+    }
+    BOOST_TEST_REQUIRE(upstream.requests.size() == 2U);
+    BOOST_TEST(upstream.connections == 1U);
+    BOOST_TEST(other.requests.size() < 4U);
+  }
+}
+
 // Bytes after a complete response belong to no request, so the connection is not reused.
 BOOST_AUTO_TEST_CASE(AConnectionWithExtraBytesIsNotReused) {
   EdgeFixture fixture;
