Don't pass on an error in the middle of a caller's stream

It could happen here: when a resumable stream broke off, the next upstream's answer below 500 was sent as a whole response on the caller's connection, which already had the head of the stream. Such an answer now counts as a failed attempt: another attempt may follow, and otherwise the stream is closed without its end marker, as after an answer of 500 or more.

edge_test AnErrorAfterAnInterruptedStreamIsNotPassedOn failed before for 400 and 404; 500 was right already and is checked as well.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -266,6 +266,13 @@
     attempt.reason = answer.has_content_encoding ? "answer_was_encoded" : "answer_without_seal";
     co_return attempt;
   }
+  if (run.stream_started) {
+    // The caller already has the head and some events of another answer.
+    dispatch::RecordAttemptFailure(upstream.health, now);
+    attempt.result = AttemptResult::kFailedAnswer;
+    attempt.reason = "status_" + std::to_string(head.status) + "_instead_of_stream";
+    co_return attempt;
+  }
   transport::HttpResponse response(head.status, answer.caller_headers, std::move(body).value());
   if (head.status >= kFirstFailureStatus) {
     dispatch::RecordAttemptFailure(upstream.health, now);
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -307,6 +307,29 @@
   BOOST_TEST(resumed.find("X-Resume-After: 2\r\n") != std::string::npos);
 }
 
+// Guards against an error of the next upstream in the middle of a caller's stream. The stream
+// ends without its end marker.
+BOOST_AUTO_TEST_CASE(AnErrorAfterAnInterruptedStreamIsNotPassedOn) {
+  for (const int status : {400, 404, 500}) {
+    EdgeFixture fixture;
+    fixture.AddUpstream({Events(0, 2, false)});
+    RawUpstream& second = fixture.AddUpstream({Sealed("problem", status)});
+    const std::string request =
+        "POST /resume/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: r\r\nX-Key: key\r\n"
+        "Content-Length: 0\r\n\r\n";
+    std::string received;
+    // Either upstream may be chosen first.
+    for (int call = 0; call < 6 && received.find("data: e2") == std::string::npos; ++call) {
+      received = fixture.CallRaw(request);
+    }
+    BOOST_TEST(received.find("data: e2") != std::string::npos);
+    BOOST_TEST(!second.requests.empty());
+    BOOST_TEST(received.find("problem") == std::string::npos);
+    BOOST_TEST(received.find("HTTP/1.1", 1) == std::string::npos);
+    BOOST_TEST(!received.ends_with("0\r\n\r\n"));
+  }
+}
+
 // Guards against a gap in a stream: an event is missing.
 BOOST_AUTO_TEST_CASE(AStreamWithAGapIsInterrupted) {
   EdgeFixture fixture;
