Test that an answer which stops in its head never looks like a success

It could not be shown here: the head is cut at each of its bytes, with a length, with chunks and without either, for orders and streams, and each call ends with 502. The test guards against it from now on.

--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -95,6 +95,22 @@
   }
 }
 
+// Guards against a short answer that looks whole: the upstream stops in the middle of its head
+// and closes the connection, wherever that is.
+BOOST_AUTO_TEST_CASE(AnAnswerThatEndsInItsHeadNeverLooksLikeSuccess) {
+  for (const std::string framing :
+       {"Content-Length: 5\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n", "\r\n"}) {
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\n" + framing;
+    for (const char* target : {"/order/1", "/stream/1"}) {
+      for (std::size_t length = 1; length < head.size(); ++length) {
+        EdgeFixture fixture;
+        fixture.AddUpstream({{head.substr(0, length), Reply::Then::kClose}});
+        BOOST_TEST(fixture.Call(target).value().status == 502, target << " " << length);
+      }
+    }
+  }
+}
+
 // An upstream sends endless bytes that never complete a response, in the head or the body,
 // until the client closes the connection. The request fails once, the connection is closed,
 // and the next request is served. A response without a length ends with its connection.
