--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -74,10 +74,8 @@
 };
 
 // Opens a connection and closes it again. Returns the error if that fails.
-boost::asio::awaitable<std::optional<TransportErrorCode>> TryConnect(
-    boost::asio::any_io_executor executor,
-    Endpoint endpoint,
-    Duration timeout);
+boost::asio::awaitable<std::optional<TransportErrorCode>>
+TryConnect(boost::asio::any_io_executor executor, Endpoint endpoint, Duration timeout);
 
 // Sends a request and reads the whole answer.
 boost::asio::awaitable<Result<HttpResponse>> Fetch(HttpConnectionPool& pool,
