Send news about crashes and limits to four peers in large fleets

With ten targets every 200 ms, six traits a message and three sends after a change, evidence of a crash a second would cost an instance of a large fleet more than the 8 KB/s that all control traffic may take. Small fleets tell all peers, as before.

--- a/src/dispatch/internal/crash_quarantine.cc
+++ b/src/dispatch/internal/crash_quarantine.cc
@@ -11,7 +11,7 @@
 // Evidence goes into this many messages after a change. Each peer that learns something new
 // passes it on, so it reaches a fleet of hundreds with high probability.
 constexpr std::uint32_t kSendsAfterChange = 3;
-// Traits in one message. A row takes up to 45 bytes.
+// Traits in one message. A row takes up to 75 bytes, 45 with two crashes.
 constexpr std::size_t kMaxSentTraits = 6;
 // Crashes older than this are not sent again.
 constexpr Duration kResendTime = std::chrono::seconds(20);
--- a/src/edge/internal/crash_watch.cc
+++ b/src/edge/internal/crash_watch.cc
@@ -107,7 +107,7 @@
 void SendCrashEvidence(EdgeState& edge) {
   const auto evidence = dispatch::TakeEvidenceToSend(edge.crashes, RuntimeClock::now());
   if (!evidence.empty()) {
-    SendToPeers(edge, EncodeCrashEvidence(evidence));
+    SendNews(edge, EncodeCrashEvidence(evidence));
   }
 }
 
--- a/src/edge/internal/limit_exchange.cc
+++ b/src/edge/internal/limit_exchange.cc
@@ -19,7 +19,7 @@
 void SendLimitNews(EdgeState& edge) {
   const auto news = dispatch::TakeLimitNews(edge.upstreams, RuntimeClock::now());
   if (!news.empty()) {
-    SendToPeers(edge, EncodeLimitNews(news));
+    SendNews(edge, EncodeLimitNews(news));
   }
 }
 
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -21,6 +21,10 @@
 using observability::LogEvent;
 using observability::LogLevel;
 
+// News goes to all peers of a small fleet, as digests do. In a larger one each message goes to
+// this many, and those who learn something new pass it on.
+constexpr std::size_t kMaxPeersToldAtOnce = 12;
+constexpr std::size_t kNewsTargets = 4;
 constexpr std::size_t kMaxDatagramBytes = std::size_t{2} * 1024;
 constexpr std::string_view kStateTarget = "/published?after=";
 // Allows for some megabytes of state over a 10 Mbit/s link. After a timeout, another peer
@@ -172,10 +176,7 @@
 }
 
 void SendDigests(EdgeState& edge) {
-  SendToPeers(edge, EncodeDigest(MakeDigest(edge)));
-}
-
-void SendToPeers(EdgeState& edge, const std::string& bytes) {
+  const std::string bytes = EncodeDigest(MakeDigest(edge));
   std::vector<std::string> targets =
       dispatch::DigestTargets(edge.peers, edge.reads_store, edge.random, RuntimeClock::now());
   for (const std::string& seed : edge.settings.seed_addresses) {
@@ -189,6 +190,18 @@
   }
 }
 
+void SendNews(EdgeState& edge, const std::string& bytes) {
+  std::vector<std::string> targets =
+      dispatch::DigestTargets(edge.peers, edge.reads_store, edge.random, RuntimeClock::now());
+  if (edge.peers.peers.size() > kMaxPeersToldAtOnce) {
+    std::ranges::shuffle(targets, edge.random);
+    targets.resize(std::min(targets.size(), kNewsTargets));
+  }
+  for (const std::string& target : targets) {
+    SendDatagram(edge, target, bytes);
+  }
+}
+
 void PullIfBehind(const Edge& edge) {
   const TimePoint now = RuntimeClock::now();
   const dispatch::Peer* ahead =
--- a/src/edge/internal/peer_exchange.h
+++ b/src/edge/internal/peer_exchange.h
@@ -13,8 +13,8 @@
 boost::asio::awaitable<void> ReceiveDigests(Edge edge);
 // Sends one digest to some peers and to the seed addresses that are not known peers.
 void SendDigests(EdgeState& edge);
-// Sends a datagram to the peers that get the next digest, and to unknown seeds.
-void SendToPeers(EdgeState& edge, const std::string& bytes);
+// Sends a datagram with news that peers pass on.
+void SendNews(EdgeState& edge, const std::string& bytes);
 // Copies published state from a peer that has a newer revision, if there is one.
 void PullIfBehind(const Edge& edge);
 // Handles a peer's request for published state.
