Decode each digest once, and tie the retry time to limits only where all have one

Each digest was parsed up to three times, since news was tried first; an instance of a large fleet gets fifty a second. And a refusal for another reason named the time at which some limited upstream frees up, although others without a limit take work sooner; a test covers the second.

--- a/src/dispatch/internal/named_limits.cc
+++ b/src/dispatch/internal/named_limits.cc
@@ -85,7 +85,13 @@
     return first;
   }
   for (const UpstreamRow& row : rows->second) {
-    if (row->limit.requests_per_second && !row->limit.sends.times.empty()) {
+    if (!TakesNewWork(table, *row)) {
+      continue;
+    }
+    if (!row->limit.requests_per_second) {
+      return std::nullopt;
+    }
+    if (!row->limit.sends.times.empty()) {
       const TimePoint frees_at = row->limit.sends.times.front() + kLimitWindow;
       first = std::min(first.value_or(frees_at), frees_at);
     }
--- a/src/dispatch/named_limits.h
+++ b/src/dispatch/named_limits.h
@@ -43,7 +43,8 @@
                         std::size_t instances,
                         std::size_t own_rank,
                         TimePoint now);
-// Returns when this instance's share of some limited upstream of the service frees up, if known.
+// If all upstreams of the service that take new work name limits, returns when this instance's
+// share of one of them frees up, if known. Otherwise returns nullopt.
 std::optional<TimePoint> EarliestLimitedSend(const UpstreamTable& table, std::string_view service);
 
 // Returns news that peers may not have yet.
--- a/src/dispatch/tests/named_limits_test.cc
+++ b/src/dispatch/tests/named_limits_test.cc
@@ -98,6 +98,17 @@
   return table;
 }
 
+// Guards against sending callers away for long because of one limited upstream among others.
+BOOST_AUTO_TEST_CASE(TheRetryTimeIsThatOfTheLimitsOnlyIfAllUpstreamsNameOne) {
+  UpstreamTable table = TableWith(2);
+  RecordNamedLimit(*table.rows.at("u0"), 2.0, kStart, kStart);
+  RecordLimitedSend(*table.rows.at("u0"), kStart + 1s);
+  BOOST_TEST(!EarliestLimitedSend(table, "app").has_value());
+  RecordNamedLimit(*table.rows.at("u1"), 2.0, kStart, kStart);
+  RecordLimitedSend(*table.rows.at("u1"), kStart + 2s);
+  BOOST_TEST((EarliestLimitedSend(table, "app") == kStart + 1s + kLimitWindow));
+}
+
 // The limit and its end reach all of a large fleet from the one instance that heard of them,
 // in messages of bounded size.
 BOOST_AUTO_TEST_CASE(NewsReachesAFleetOfFourHundred) {
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -145,12 +145,11 @@
     }
     const std::string_view bytes = std::string_view(buffer).substr(0, count);
     const std::string address = sender.address().to_string();
-    const bool is_peer = edge->peers.peers.contains(address);
-    if (is_peer &&
+    const auto digest = DecodeDigest(bytes);
+    if (!digest && edge->peers.peers.contains(address) &&
         (ReceiveCrashEvidence(*edge, bytes, address) || ReceiveLimitNews(*edge, bytes, address))) {
       continue;
     }
-    const auto digest = DecodeDigest(bytes);
     // Accept a digest only from the address that it describes.
     if (!digest || digest->address != address) {
       edge->metrics.Count("geranium_digests_refused_total");
