Don't clear a suspected request because of a failed answer

What callers would see: engines keep crashing one after the other although the fleet has met the crashing part many times, if engines in trouble answer some of the requests with an error in between.

Cause: an answer of 500 or more counted as proof that the upstream had survived the request. Such an answer clears the crashes of all its traits, at all instances. An upstream that fails before it processes the prompt proves nothing. Found by reading; a failed answer now shows neither.

edge_crash_test AFailedAnswerDoesNotClearARequest failed before: 9 crashes in nine rounds, where five must be enough.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -324,10 +324,10 @@
   }
 }
 
-// Records whether the upstream survived the request.
+// Records whether the upstream survived the request. A failed answer shows neither: the upstream
+// may have given up before it processed the prompt.
 void RecordOutcome(RequestRun& run, const dispatch::UpstreamRow& upstream, const Attempt& attempt) {
-  if (attempt.result == AttemptResult::kDelivered ||
-      attempt.result == AttemptResult::kFailedAnswer) {
+  if (attempt.result == AttemptResult::kDelivered) {
     RecordAnswered(run);
   } else if (attempt.connection_lost) {
     RecordLostConnection(run, upstream);
--- a/src/edge/tests/edge_crash_test.cc
+++ b/src/edge/tests/edge_crash_test.cc
@@ -79,6 +79,32 @@
   BOOST_TEST(run.crashing.status == 503);
 }
 
+// Guards against an upstream in trouble that hides a crashing request: its error says nothing
+// about whether a sound upstream survives the request.
+BOOST_AUTO_TEST_CASE(AFailedAnswerDoesNotClearARequest) {
+  EdgeFixture fixture;
+  constexpr const char* kCrashingPart = ",666,";
+  constexpr const char* kAnyRequest = "X-Id";
+  std::size_t sent = 1000;
+  const auto send = [&](const std::string& shared_parts) {
+    fixture.Call("/order/1", {{"X-Parts", shared_parts + std::to_string(++sent)}}).value();
+    fixture.RunFor(300ms);
+  };
+  // In each round the part crashes one upstream, and another one answers it with an error.
+  for (int round = 0; round < 9; ++round) {
+    fixture.AddUpstream({Sealed("whole")}).crashes_on = kCrashingPart;
+    send("1,2,666,");
+    RawUpstream& failing = fixture.AddUpstream({Sealed("error", 500)});
+    send("1,2,666,");
+    failing.crashes_on = kAnyRequest;
+    send("");
+    fixture.RunFor(1s);
+  }
+  BOOST_TEST(std::ranges::count_if(fixture.upstreams, [](const auto& upstream) {
+               return upstream->has_crashed && upstream->crashes_on == kCrashingPart;
+             }) <= 5);
+}
+
 // Guards against a quarantine after connections that an upstream resets while it lives on.
 BOOST_AUTO_TEST_CASE(ResetConnectionsOfALivingUpstreamAreNoCrash) {
   EdgeFixture fixture;
