Keep answered traits in mind until peers can't send older evidence any more

What callers would see: requests with a sound part are refused again after the fleet has found the part to be sound.

Cause: a trait whose quarantine had ended was forgotten as soon as the news had been sent three times. An instance that missed them (frozen, cut off, or by lost datagrams) still holds the quarantine and repeats it each 2 s, and the others take it for new. Found by reading.

--- a/src/dispatch/internal/crash_quarantine.cc
+++ b/src/dispatch/internal/crash_quarantine.cc
@@ -341,7 +341,10 @@
     if (suspect.quarantines > 0) {
       return QuarantineEnd(settings, suspect) + settings.memory < now;
     }
-    return suspect.crashes.empty() && suspect.sends_left == 0;
+    // A peer that doesn't know the answer yet may still send the crashes that it disproves.
+    const bool has_recent_answer =
+        suspect.answered_at && *suspect.answered_at + settings.memory >= now;
+    return suspect.crashes.empty() && suspect.sends_left == 0 && !has_recent_answer;
   });
 }
 
--- a/src/dispatch/tests/crash_quarantine_test.cc
+++ b/src/dispatch/tests/crash_quarantine_test.cc
@@ -235,6 +235,26 @@
   }
 }
 
+// Guards against a quarantine that comes back after it has ended: an instance that missed the
+// end still sends it.
+BOOST_AUTO_TEST_CASE(AReleasedTraitIsNotQuarantinedAgainByAPeerThatMissedTheRelease) {
+  CrashQuarantine released;
+  CrashQuarantine behind;
+  for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash) {
+    CrashWith(released, crash, Request({5}, crash), kStart + crash * 1s);
+  }
+  Send(released, behind, kStart + 3s);
+  RecordAnswer(released, Request({5}, 9), kStart + 4s);
+  while (!TakeEvidenceToSend(released, kStart + 4s).empty()) {
+  }
+  ExpireEvidence(released, kStart + 5s);
+  ResendEvidence(behind, kStart + 10s);
+  Send(behind, released, kStart + 10s);
+  BOOST_TEST(!Refuses(released, Request({5}, 10), kStart + 10s));
+  Send(released, behind, kStart + 11s);
+  BOOST_TEST(!Refuses(behind, Request({5}, 10), kStart + 11s));
+}
+
 // Guards against evidence that grows with the traffic.
 BOOST_AUTO_TEST_CASE(TheEvidenceIsBounded) {
   CrashQuarantine quarantine;
