Send evidence on unanswered parts first, and new evidence before repeats

One crash leaves evidence on a dozen traits and more, six fit into a message, and the same six were sent three times before the next had a turn. The part at fault could so reach the peers after 600 ms.

Now each trait is sent once before any is sent again, and of these the ones of which no answer has begun and that few requests share go first, as they are found after two crashes.

The two new cases of dispatch_crash_quarantine_test failed before.

--- a/src/dispatch/internal/crash_quarantine.cc
+++ b/src/dispatch/internal/crash_quarantine.cc
@@ -309,8 +309,9 @@
   std::ranges::partial_sort(due, due.begin() + static_cast<std::ptrdiff_t>(count),
                             std::ranges::greater(), [](const auto* item) {
                               const SuspectTrait& suspect = item->second;
-                              return std::tuple(suspect.quarantines, suspect.crashes.size(),
-                                                LastChange(suspect));
+                              return std::tuple(suspect.sends_left, suspect.quarantines,
+                                                !suspect.has_begun, suspect.crashes.size(),
+                                                suspect.depth, LastChange(suspect));
                             });
   std::vector<CrashEvidence> evidence;
   for (std::size_t index = 0; index < count; ++index) {
--- a/src/dispatch/tests/crash_quarantine_test.cc
+++ b/src/dispatch/tests/crash_quarantine_test.cc
@@ -31,6 +31,10 @@
   RecordCrash(quarantine, {process, now}, {&traits, 1});
 }
 
+bool Contains(const std::vector<CrashEvidence>& evidence, Trait trait) {
+  return std::ranges::find(evidence, trait, &CrashEvidence::trait) != evidence.end();
+}
+
 // Sends all evidence of one instance to another.
 void Send(CrashQuarantine& from, CrashQuarantine& to, TimePoint now) {
   while (true) {
@@ -255,6 +259,34 @@
   BOOST_TEST(!Refuses(behind, Request({5}, 10), kStart + 11s));
 }
 
+// Pattern: an upstream crashes under many requests, most of their traits belong to sound ones.
+// Guards against evidence on the part at fault that waits behind repeats of other evidence.
+BOOST_AUTO_TEST_CASE(PartsOfWhichNoAnswerHasBegunAreSentFirst) {
+  for (Trait crashing_part = 1; crashing_part <= 40; ++crashing_part) {
+    CrashQuarantine quarantine;
+    std::vector<RequestTraits> requests;
+    for (Trait request = 0; request < 10; ++request) {
+      const Trait first = 1000 + request * 10;
+      requests.push_back(Request({first, first + 1}, first + 3));
+      RecordBegin(quarantine, requests.back());
+    }
+    requests.push_back(Request({1000, 1010, crashing_part}, 9));
+    RecordCrash(quarantine, {1, kStart}, requests);
+    BOOST_TEST(Contains(TakeEvidenceToSend(quarantine, kStart), crashing_part));
+  }
+}
+
+// The same for evidence that arrives while older evidence is still being repeated.
+BOOST_AUTO_TEST_CASE(NewEvidenceIsSentBeforeRepeats) {
+  CrashQuarantine quarantine;
+  for (Trait request = 1; request <= 6; ++request) {
+    CrashWith(quarantine, 1, Request({}, request), kStart + 1s);
+  }
+  BOOST_TEST(TakeEvidenceToSend(quarantine, kStart + 1s).size() == 6U);
+  CrashWith(quarantine, 2, Request({}, 7), kStart);
+  BOOST_TEST(Contains(TakeEvidenceToSend(quarantine, kStart + 1s), 7));
+}
+
 // Guards against evidence that grows with the traffic.
 BOOST_AUTO_TEST_CASE(TheEvidenceIsBounded) {
   CrashQuarantine quarantine;
