Keep the newest crashes of a trait

A trait keeps five crashes. An older one that a peer sent replaced the oldest of them, was told to the peers as news, and made them send the newer one back: control traffic without any news, and newer crashes that were lost.

dispatch_crash_quarantine_test AnInstanceKeepsTheNewestCrashes failed before. Found by reading; no play showed it, as few traits reach six crashes.

--- a/src/dispatch/internal/crash_quarantine.cc
+++ b/src/dispatch/internal/crash_quarantine.cc
@@ -82,7 +82,11 @@
     return;
   }
   if (suspect.crashes.size() >= kMaxCrashes) {
-    suspect.crashes.erase(std::ranges::min_element(suspect.crashes, {}, &Crash::at));
+    const auto oldest = std::ranges::min_element(suspect.crashes, {}, &Crash::at);
+    if (crash.at < oldest->at) {
+      return;
+    }
+    suspect.crashes.erase(oldest);
   }
   suspect.crashes.push_back(crash);
   suspect.sends_left = kSendsAfterChange;
--- a/src/dispatch/tests/crash_quarantine_test.cc
+++ b/src/dispatch/tests/crash_quarantine_test.cc
@@ -287,6 +287,24 @@
   BOOST_TEST(Contains(TakeEvidenceToSend(quarantine, kStart + 1s), 7));
 }
 
+// Guards against an old crash that replaces a newer one, which the peers then send back.
+BOOST_AUTO_TEST_CASE(AnInstanceKeepsTheNewestCrashes) {
+  CrashQuarantine one;
+  CrashQuarantine other;
+  RecordBegin(one, Request({5}, 1));
+  RecordBegin(other, Request({5}, 1));
+  for (std::uint32_t crash = 1; crash <= 6; ++crash) {
+    CrashWith(one, crash, Request({5}, 100 + crash), kStart + crash * 1s);
+  }
+  CrashWith(other, 1, Request({5}, 101), kStart + 1s);
+  while (!TakeEvidenceToSend(one, kStart + 7s).empty()) {
+  }
+  Send(other, one, kStart + 7s);
+  const std::vector<Crash>& kept = one.suspects.at(5).crashes;
+  BOOST_TEST(std::ranges::min(kept, {}, &Crash::at).process == 2U);
+  BOOST_TEST(one.suspects.at(5).sends_left == 0U);
+}
+
 // Guards against evidence that grows with the traffic.
 BOOST_AUTO_TEST_CASE(TheEvidenceIsBounded) {
   CrashQuarantine quarantine;
