Remember the limit of a process whose entry lapses

What an upstream would see: after an outage of the store in which its entry lapses, it gets requests above the limit that it still names, until each instance has been told again, and the requests of the last 4 s don't count any more.

Cause: leaving and pauses of a removed process are kept in case it is listed again, the limit was not. It is kept beside them now, with the requests already sent, and for the same process only.

dispatch_named_limits_test TheLimitAppliesToTheProcessThatNamedIt failed before.

--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "common/hash.h"
 
@@ -41,23 +42,24 @@
   }
 }
 
-AnnouncedState TakeAnnouncedState(UpstreamTable& table, const UpstreamListing& listing) {
-  AnnouncedState announced;
-  if (const auto known = table.dropped.find({listing.id, listing.started_at_ms});
-      known != table.dropped.end()) {
-    announced = known->second.announced;
-    table.dropped.erase(known);
+// Restores what the process announced before it was dropped.
+void RestoreAnnouncedState(UpstreamTable& table, Upstream& upstream) {
+  const UpstreamListing& listing = upstream.listing;
+  if (auto known = table.dropped.extract({listing.id, listing.started_at_ms}); !known.empty()) {
+    upstream.announced = known.mapped().announced;
+    upstream.limit = std::move(known.mapped().limit);
   }
-  announced.leaving = announced.leaving || listing.draining;
-  return announced;
+  upstream.announced.leaving = upstream.announced.leaving || listing.draining;
 }
 
 // Without a start time a process can't be distinguished from its successor under the
 // same id.
 void SaveAnnouncedState(UpstreamTable& table, const Upstream& upstream, TimePoint now) {
   const UpstreamListing& listing = upstream.listing;
-  if ((upstream.announced.leaving || IsPaused(upstream, now)) && listing.started_at_ms != 0) {
-    table.dropped[{listing.id, listing.started_at_ms}] = {upstream.announced, now};
+  const bool has_announced = upstream.announced.leaving || IsPaused(upstream, now) ||
+                             upstream.limit.requests_per_second.has_value();
+  if (has_announced && listing.started_at_ms != 0) {
+    table.dropped[{listing.id, listing.started_at_ms}] = {upstream.announced, upstream.limit, now};
   }
 }
 
@@ -89,7 +91,7 @@
   }
   auto row = std::make_shared<Upstream>();
   row->listing = listing;
-  row->announced = TakeAnnouncedState(table, listing);
+  RestoreAnnouncedState(table, *row);
   row->id_hash = StableHash(listing.id);
   row->listed_at = now;
   row->cold_until = now + listing.cold_left;
--- a/src/dispatch/tests/named_limits_test.cc
+++ b/src/dispatch/tests/named_limits_test.cc
@@ -93,6 +93,7 @@
     UpstreamListing listing;
     listing.id = "u" + std::to_string(index);
     listing.service = "app";
+    listing.started_at_ms = 1;
     ApplyListing(table, listing, kStart);
   }
   return table;
@@ -109,6 +110,22 @@
   BOOST_TEST((EarliestLimitedSend(table, "app") == kStart + 1s + kLimitWindow));
 }
 
+// Guards against a limit that is lost when its upstream's entry expires during an outage of the
+// store and reappears after it.
+BOOST_AUTO_TEST_CASE(TheLimitAppliesToTheProcessThatNamedIt) {
+  UpstreamTable table = TableWith(1);
+  const UpstreamListing listing = table.rows.at("u0")->listing;
+  RecordNamedLimit(*table.rows.at("u0"), 0.25, kStart, kStart);
+  RecordLimitedSend(*table.rows.at("u0"), kStart);
+  RemoveUpstream(table, "u0", kStart + 1s);
+  ApplyListing(table, listing, kStart + 2s);
+  BOOST_TEST(!IsWithinNamedLimit(*table.rows.at("u0"), 8, 0, kStart + 2s));
+  UpstreamListing restarted = listing;
+  restarted.started_at_ms = 2;
+  ApplyListing(table, restarted, kStart + 3s);
+  BOOST_TEST(IsWithinNamedLimit(*table.rows.at("u0"), 8, 0, kStart + 3s));
+}
+
 // The limit and its end reach all of a large fleet from the one instance that heard of them,
 // in messages of bounded size.
 BOOST_AUTO_TEST_CASE(NewsReachesAFleetOfFourHundred) {
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -111,6 +111,7 @@
 // A removed process that may be listed again.
 struct DroppedProcess {
   AnnouncedState announced;
+  NamedLimit limit;
   TimePoint dropped_at;
 };
 
