Pass a new quarantine on at once

With 69 instances each message goes to four peers and waits for the next 200 ms at each hop, and requests with the part arrive meanwhile.

An instance that hears of a new quarantine now tells four peers at once, and such news goes before other evidence. It is one more message for each quarantine. dispatch_crash_quarantine_test AQuarantineReachesMostOfAFleetAtOnce (410 instances, with other evidence waiting) failed with the order before.

--- a/src/dispatch/internal/crash_quarantine.cc
+++ b/src/dispatch/internal/crash_quarantine.cc
@@ -186,6 +186,14 @@
   return IsQuarantined(quarantine.settings, suspect, now);
 }
 
+// The order in which evidence is sent. New evidence goes before repeats, and the traits that are
+// found after the fewest crashes go first.
+auto Urgency(const SuspectTrait& suspect) {
+  const bool is_new_quarantine = suspect.quarantines > 0 && suspect.sends_left > 1;
+  return std::tuple(is_new_quarantine, suspect.sends_left, suspect.quarantines, !suspect.has_begun,
+                    suspect.crashes.size(), suspect.depth, LastChange(suspect));
+}
+
 CrashEvidence EvidenceOf(Trait trait, const SuspectTrait& suspect, TimePoint now) {
   CrashEvidence evidence{trait};
   for (const Crash& crash : suspect.crashes) {
@@ -311,12 +319,8 @@
   }
   const std::size_t count = std::min(due.size(), kMaxSentTraits);
   std::ranges::partial_sort(due, due.begin() + static_cast<std::ptrdiff_t>(count),
-                            std::ranges::greater(), [](const auto* item) {
-                              const SuspectTrait& suspect = item->second;
-                              return std::tuple(suspect.sends_left, suspect.quarantines,
-                                                !suspect.has_begun, suspect.crashes.size(),
-                                                suspect.depth, LastChange(suspect));
-                            });
+                            std::ranges::greater(),
+                            [](const auto* item) { return Urgency(item->second); });
   std::vector<CrashEvidence> evidence;
   for (std::size_t index = 0; index < count; ++index) {
     --due[index]->second.sends_left;
--- a/src/dispatch/tests/crash_quarantine_test.cc
+++ b/src/dispatch/tests/crash_quarantine_test.cc
@@ -327,6 +327,50 @@
   BOOST_TEST(quarantine.suspects.empty());
 }
 
+// Pattern: many requests with the part arrive each second over a fleet of the design size.
+// Guards against upstreams that crash while a quarantine waits for the next message of each
+// instance: those who hear of it tell four others at once. The rest hear of it one interval later.
+BOOST_AUTO_TEST_CASE(AQuarantineReachesMostOfAFleetAtOnce) {
+  constexpr std::size_t kInstances = 410;
+  constexpr std::size_t kTargets = 4;
+  std::vector<CrashQuarantine> fleet(kInstances);
+  std::mt19937_64 random(1);
+  std::uniform_int_distribution<std::size_t> pick(0, kInstances - 1);
+  // Evidence on sound requests also waits to be sent.
+  for (std::size_t instance = 0; instance < kInstances; ++instance) {
+    for (Trait request = 0; request < 8; ++request) {
+      CrashWith(fleet[instance], 1, Request({}, 1000 + instance * 10 + request), kStart);
+    }
+  }
+  for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash) {
+    CrashWith(fleet[0], crash, Request({kCrashingPart}, crash), kStart + crash * 300ms);
+  }
+  const TimePoint now = kStart + 1s;
+  const auto count_refusing = [&] {
+    return std::ranges::count_if(fleet, [now](const CrashQuarantine& instance) {
+      return Refuses(instance, Request({kCrashingPart}, 99), now);
+    });
+  };
+  const auto send = [&](std::size_t sender, std::vector<std::size_t>& informed) {
+    const std::vector<CrashEvidence> evidence = TakeEvidenceToSend(fleet[sender], now);
+    for (std::size_t target = 0; target < kTargets; ++target) {
+      const std::size_t receiver = pick(random);
+      if (!MergeEvidence(fleet[receiver], evidence, now).began.empty()) {
+        informed.push_back(receiver);
+      }
+    }
+  };
+  std::vector<std::size_t> informed{0};
+  for (std::size_t next = 0; next < informed.size(); ++next) {
+    send(informed[next], informed);
+  }
+  BOOST_TEST(count_refusing() >= 390);
+  for (std::size_t instance = 0; instance < kInstances; ++instance) {
+    send(instance, informed);
+  }
+  BOOST_TEST(count_refusing() == 410);
+}
+
 // A fleet of the design size, where each instance sends evidence to four others every 200 ms.
 // The rule of the users allows several seconds from the fifth crash to the quarantine at all.
 BOOST_AUTO_TEST_CASE(AFleetOfFourHundredAgreesWithinTwoSeconds) {
--- a/src/edge/internal/crash_watch.cc
+++ b/src/edge/internal/crash_watch.cc
@@ -116,7 +116,12 @@
   if (!evidence) {
     return false;
   }
-  LogChange(edge, dispatch::MergeEvidence(edge.crashes, *evidence, RuntimeClock::now()), sender);
+  const auto change = dispatch::MergeEvidence(edge.crashes, *evidence, RuntimeClock::now());
+  LogChange(edge, change, sender);
+  if (!change.began.empty()) {
+    // Each further request with the trait may cost an upstream, so peers hear of it at once.
+    SendCrashEvidence(edge);
+  }
   return true;
 }
 
