Don't repeat evidence of crashes that all peers know

Each instance repeated the evidence of all crashes of the last 20 s each 2 s. In a simulated fleet of 410 where one engine crashes a second, each instance stays at the cap of 5.4 KB/s while the crashes last and for 20 s after; digests take 7.3 to 8.6 of the 8 KB/s for control already. Each change is sent three times and passed on by each that learns it, so a peer misses it only when it is cut off or starts later, and then the peer's return has everything sent once more.

Now only quarantines are repeated, as they matter for minutes.

dispatch_crash_quarantine_test EvidenceIsNotRepeatedOnceAllKnowIt failed before.

--- a/src/dispatch/crash_quarantine.h
+++ b/src/dispatch/crash_quarantine.h
@@ -121,7 +121,9 @@
                                TimePoint now);
 // Returns evidence that peers may not know yet, the strongest first.
 std::vector<CrashEvidence> TakeEvidenceToSend(CrashQuarantine& quarantine, TimePoint now);
-// Sends all quarantines and recent crashes once more, for peers that missed them or restarted.
+// Sends all quarantines once more, for peers that missed one.
+void RepeatQuarantines(CrashQuarantine& quarantine);
+// Sends all quarantines and recent crashes once more, for peers that restarted or were cut off.
 void ResendEvidence(CrashQuarantine& quarantine, TimePoint now);
 void ExpireEvidence(CrashQuarantine& quarantine, TimePoint now);
 
--- a/src/dispatch/internal/crash_quarantine.cc
+++ b/src/dispatch/internal/crash_quarantine.cc
@@ -329,11 +329,18 @@
   return evidence;
 }
 
+void RepeatQuarantines(CrashQuarantine& quarantine) {
+  for (auto& [trait, suspect] : quarantine.suspects) {
+    if (suspect.quarantines > 0) {
+      suspect.sends_left = std::max(suspect.sends_left, 1U);
+    }
+  }
+}
+
 void ResendEvidence(CrashQuarantine& quarantine, TimePoint now) {
+  RepeatQuarantines(quarantine);
   for (auto& [trait, suspect] : quarantine.suspects) {
-    const bool has_recent_crash =
-        !suspect.crashes.empty() && LastChange(suspect) + kResendTime > now;
-    if (suspect.quarantines > 0 || has_recent_crash) {
+    if (!suspect.crashes.empty() && LastChange(suspect) + kResendTime > now) {
       suspect.sends_left = std::max(suspect.sends_left, 1U);
     }
   }
--- a/src/dispatch/tests/crash_quarantine_test.cc
+++ b/src/dispatch/tests/crash_quarantine_test.cc
@@ -398,5 +398,39 @@
   }));
 }
 
+// Guards against control traffic that grows with the number of past crashes: engines of a large
+// fleet crash for many reasons, and the news of a crash is told only while it is new.
+BOOST_AUTO_TEST_CASE(EvidenceIsNotRepeatedOnceAllKnowIt) {
+  constexpr std::size_t kInstances = 410;
+  constexpr std::size_t kTargets = 4;
+  std::vector<CrashQuarantine> fleet(kInstances);
+  std::mt19937_64 random(1);
+  std::uniform_int_distribution<std::size_t> pick(0, kInstances - 1);
+  std::size_t rows = 0;
+  for (int tick = 0; tick < 150; ++tick) {
+    const TimePoint now = kStart + tick * 200ms;
+    // One crash a second in the first ten seconds, seen by eight instances.
+    if (tick % 5 == 0 && tick < 50) {
+      for (Trait seen = 0; seen < 8; ++seen) {
+        const Trait part = 1000 + tick * 100 + seen * 10;
+        CrashWith(fleet[pick(random)], 1 + tick, Request({part}, part + 1), now);
+      }
+    }
+    const bool is_repeat_due = tick % 10 == 0;
+    rows = tick == 100 ? 0 : rows;
+    for (CrashQuarantine& instance : fleet) {
+      if (is_repeat_due) {
+        RepeatQuarantines(instance);
+      }
+      const std::vector<CrashEvidence> evidence = TakeEvidenceToSend(instance, now);
+      for (std::size_t target = 0; target < kTargets && !evidence.empty(); ++target) {
+        MergeEvidence(fleet[pick(random)], evidence, now);
+        rows += evidence.size();
+      }
+    }
+  }
+  BOOST_TEST(rows == 0U);
+}
+
 }  // namespace
 }  // namespace geraniumspread::dispatch
--- a/src/edge/internal/crash_watch.cc
+++ b/src/edge/internal/crash_watch.cc
@@ -18,8 +18,8 @@
 constexpr Duration kCheckTimeout = std::chrono::milliseconds(250);
 // If the connections to more upstreams are lost at once, the network is at fault.
 constexpr std::size_t kMaxChecks = 16;
-// Evidence is repeated at this interval for peers that missed it.
-constexpr Duration kResendInterval = std::chrono::seconds(2);
+// Quarantines are repeated at this interval for peers that missed them.
+constexpr Duration kRepeatInterval = std::chrono::seconds(2);
 
 void LogChange(EdgeState& edge, const dispatch::QuarantineChange& change, std::string_view source) {
   for (const dispatch::Trait trait : change.began) {
@@ -127,9 +127,9 @@
 
 void TickCrashEvidence(EdgeState& edge) {
   const TimePoint now = RuntimeClock::now();
-  if (edge.evidence_resent_at + kResendInterval <= now) {
-    edge.evidence_resent_at = now;
-    dispatch::ResendEvidence(edge.crashes, now);
+  if (edge.quarantines_repeated_at + kRepeatInterval <= now) {
+    edge.quarantines_repeated_at = now;
+    dispatch::RepeatQuarantines(edge.crashes);
   }
   SendCrashEvidence(edge);
   dispatch::ExpireEvidence(edge.crashes, now);
--- a/src/edge/internal/crash_watch.h
+++ b/src/edge/internal/crash_watch.h
@@ -24,7 +24,7 @@
 void SendCrashEvidence(EdgeState& edge);
 // Merges the evidence if the datagram contains any. Returns false for other datagrams.
 bool ReceiveCrashEvidence(EdgeState& edge, std::string_view bytes, std::string_view sender);
-// Repeats the evidence from time to time and forgets old evidence.
+// Repeats the quarantines from time to time and forgets old evidence.
 void TickCrashEvidence(EdgeState& edge);
 
 }  // namespace geraniumspread::edge::detail
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -62,7 +62,7 @@
   dispatch::RetryBudgetShare retries;
   dispatch::CrashQuarantine crashes;
   std::unordered_map<dispatch::UpstreamRow, LostConnections> lost_connections;
-  TimePoint evidence_resent_at;
+  TimePoint quarantines_repeated_at;
   // Requests in flight.
   std::unordered_set<RequestRun*> runs;
   dispatch::StoreOutage store_outage;
