--- a/src/dispatch/tests/crash_quarantine_test.cc
+++ b/src/dispatch/tests/crash_quarantine_test.cc
@@ -327,109 +327,109 @@
   BOOST_TEST(quarantine.suspects.empty());
 }
 
-// Pattern: many requests with the part arrive each second over a fleet of the design size.
-// Guards against upstreams that crash while a quarantine waits for the next message of each
-// instance: those who hear of it tell four others at once. The rest hear of it one interval later.
+// A fleet of the design size, where each message goes to four random instances.
+struct LargeFleet {
+  // Sends the next message of one instance. Returns the receivers that learned of a quarantine.
+  std::vector<std::size_t> SendFrom(std::size_t sender, TimePoint now) {
+    const std::vector<CrashEvidence> evidence = TakeEvidenceToSend(this->instances[sender], now);
+    std::vector<std::size_t> informed;
+    for (std::size_t target = 0; target < kTargets && !evidence.empty(); ++target) {
+      const std::size_t receiver = this->pick(this->random);
+      this->rows_sent += evidence.size();
+      if (!MergeEvidence(this->instances[receiver], evidence, now).began.empty()) {
+        informed.push_back(receiver);
+      }
+    }
+    return informed;
+  }
+
+  void SendFromAll(TimePoint now) {
+    for (std::size_t instance = 0; instance < this->instances.size(); ++instance) {
+      this->SendFrom(instance, now);
+    }
+  }
+
+  std::size_t CountRefusing(TimePoint now) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->instances, [now](const CrashQuarantine& instance) {
+          return Refuses(instance, Request({kCrashingPart}, 99), now);
+        }));
+  }
+
+  CrashQuarantine& Random() { return this->instances[this->pick(this->random)]; }
+
+  static constexpr std::size_t kInstances = 410;
+  static constexpr std::size_t kTargets = 4;
+  std::vector<CrashQuarantine> instances = std::vector<CrashQuarantine>(kInstances);
+  std::mt19937_64 random{1};
+  std::uniform_int_distribution<std::size_t> pick{0, kInstances - 1};
+  std::size_t rows_sent = 0;
+};
+
+// Pattern: many requests with the part arrive each second over a large fleet. Guards against
+// upstreams that crash while a quarantine waits for the next message of each instance: those who
+// hear of it tell four others at once. The rest hear of it one interval later.
 BOOST_AUTO_TEST_CASE(AQuarantineReachesMostOfAFleetAtOnce) {
-  constexpr std::size_t kInstances = 410;
-  constexpr std::size_t kTargets = 4;
-  std::vector<CrashQuarantine> fleet(kInstances);
-  std::mt19937_64 random(1);
-  std::uniform_int_distribution<std::size_t> pick(0, kInstances - 1);
+  LargeFleet fleet;
   // Evidence on sound requests also waits to be sent.
-  for (std::size_t instance = 0; instance < kInstances; ++instance) {
+  for (std::size_t instance = 0; instance < LargeFleet::kInstances; ++instance) {
     for (Trait request = 0; request < 8; ++request) {
-      CrashWith(fleet[instance], 1, Request({}, 1000 + instance * 10 + request), kStart);
+      CrashWith(fleet.instances[instance], 1, Request({}, 1000 + instance * 10 + request), kStart);
     }
   }
   for (std::uint32_t crash = 1; crash <= kCrashesNeeded; ++crash) {
-    CrashWith(fleet[0], crash, Request({kCrashingPart}, crash), kStart + crash * 300ms);
+    CrashWith(fleet.instances[0], crash, Request({kCrashingPart}, crash), kStart + crash * 300ms);
   }
   const TimePoint now = kStart + 1s;
-  const auto count_refusing = [&] {
-    return std::ranges::count_if(fleet, [now](const CrashQuarantine& instance) {
-      return Refuses(instance, Request({kCrashingPart}, 99), now);
-    });
-  };
-  const auto send = [&](std::size_t sender, std::vector<std::size_t>& informed) {
-    const std::vector<CrashEvidence> evidence = TakeEvidenceToSend(fleet[sender], now);
-    for (std::size_t target = 0; target < kTargets; ++target) {
-      const std::size_t receiver = pick(random);
-      if (!MergeEvidence(fleet[receiver], evidence, now).began.empty()) {
-        informed.push_back(receiver);
-      }
-    }
-  };
   std::vector<std::size_t> informed{0};
   for (std::size_t next = 0; next < informed.size(); ++next) {
-    send(informed[next], informed);
-  }
-  BOOST_TEST(count_refusing() >= 390);
-  for (std::size_t instance = 0; instance < kInstances; ++instance) {
-    send(instance, informed);
+    const std::vector<std::size_t> receivers = fleet.SendFrom(informed[next], now);
+    informed.insert(informed.end(), receivers.begin(), receivers.end());
   }
-  BOOST_TEST(count_refusing() == 410);
+  BOOST_TEST(fleet.CountRefusing(now) >= 390U);
+  fleet.SendFromAll(now);
+  BOOST_TEST(fleet.CountRefusing(now) == LargeFleet::kInstances);
 }
 
-// A fleet of the design size, where each instance sends evidence to four others every 200 ms.
-// The rule of the users allows several seconds from the fifth crash to the quarantine at all.
+// Each instance sends evidence every 200 ms. The rule of the users allows several seconds from
+// the fifth crash to the quarantine at all.
 BOOST_AUTO_TEST_CASE(AFleetOfFourHundredAgreesWithinTwoSeconds) {
-  constexpr std::size_t kInstances = 410;
-  constexpr std::size_t kTargets = 4;
-  std::vector<CrashQuarantine> fleet(kInstances);
-  std::mt19937_64 random(1);
-  std::uniform_int_distribution<std::size_t> pick(0, kInstances - 1);
+  LargeFleet fleet;
   TimePoint now = kStart;
   for (std::uint32_t crash = 1; crash <= 5; ++crash) {
-    CrashWith(fleet[pick(random)], crash, Request({kCommonPart, kCrashingPart}, crash),
+    CrashWith(fleet.Random(), crash, Request({kCommonPart, kCrashingPart}, crash),
               now + crash * 300ms);
   }
   now += 1500ms;
   for (const TimePoint end = now + 2s; now < end; now += 200ms) {
-    for (CrashQuarantine& instance : fleet) {
-      const std::vector<CrashEvidence> evidence = TakeEvidenceToSend(instance, now);
-      for (std::size_t target = 0; target < kTargets && !evidence.empty(); ++target) {
-        MergeEvidence(fleet[pick(random)], evidence, now);
-      }
-    }
+    fleet.SendFromAll(now);
   }
-  BOOST_TEST(std::ranges::all_of(fleet, [now](const CrashQuarantine& instance) {
-    return Refuses(instance, Request({kCrashingPart}, 99), now);
-  }));
+  BOOST_TEST(fleet.CountRefusing(now) == LargeFleet::kInstances);
 }
 
 // Guards against control traffic that grows with the number of past crashes: engines of a large
 // fleet crash for many reasons, and the news of a crash is told only while it is new.
 BOOST_AUTO_TEST_CASE(EvidenceIsNotRepeatedOnceAllKnowIt) {
-  constexpr std::size_t kInstances = 410;
-  constexpr std::size_t kTargets = 4;
-  std::vector<CrashQuarantine> fleet(kInstances);
-  std::mt19937_64 random(1);
-  std::uniform_int_distribution<std::size_t> pick(0, kInstances - 1);
-  std::size_t rows = 0;
-  for (int tick = 0; tick < 150; ++tick) {
+  constexpr int kTicksPerSecond = 5;
+  LargeFleet fleet;
+  for (int tick = 0; tick < 30 * kTicksPerSecond; ++tick) {
     const TimePoint now = kStart + tick * 200ms;
     // One crash a second in the first ten seconds, seen by eight instances.
-    if (tick % 5 == 0 && tick < 50) {
+    if (tick % kTicksPerSecond == 0 && tick < 10 * kTicksPerSecond) {
       for (Trait seen = 0; seen < 8; ++seen) {
         const Trait part = 1000 + tick * 100 + seen * 10;
-        CrashWith(fleet[pick(random)], 1 + tick, Request({part}, part + 1), now);
+        CrashWith(fleet.Random(), 1 + tick, Request({part}, part + 1), now);
       }
     }
-    const bool is_repeat_due = tick % 10 == 0;
-    rows = tick == 100 ? 0 : rows;
-    for (CrashQuarantine& instance : fleet) {
-      if (is_repeat_due) {
-        RepeatQuarantines(instance);
-      }
-      const std::vector<CrashEvidence> evidence = TakeEvidenceToSend(instance, now);
-      for (std::size_t target = 0; target < kTargets && !evidence.empty(); ++target) {
-        MergeEvidence(fleet[pick(random)], evidence, now);
-        rows += evidence.size();
-      }
+    if (tick % (2 * kTicksPerSecond) == 0) {
+      std::ranges::for_each(fleet.instances, RepeatQuarantines);
+    }
+    if (tick == 20 * kTicksPerSecond) {
+      fleet.rows_sent = 0;
     }
+    fleet.SendFromAll(now);
   }
-  BOOST_TEST(rows == 0U);
+  BOOST_TEST(fleet.rows_sent == 0U);
 }
 
 }  // namespace
