--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -29,11 +29,11 @@
 dispatch::Prompt DecodePrompt(std::string_view text) {
   dispatch::Prompt prompt;
   while (!text.empty()) {
-    const auto end = std::min(text.find(','), text.size());
+    const std::string_view number = text.substr(0, text.find(','));
     dispatch::PromptPart part{0, 1};
-    std::from_chars(text.data(), text.data() + end, part.id);
+    std::from_chars(number.data(), number.data() + number.size(), part.id);
     prompt.parts.push_back(part);
-    text.remove_prefix(std::min(end + 1, text.size()));
+    text.remove_prefix(std::min(number.size() + 1, text.size()));
   }
   return prompt;
 }
