Compute the peers' hashes once for each request

The check for a quarantine built the list of all peers' hashes again before each attempt, although the request has it for the selection; with 410 instances that is a list of 409 on the way of every request, also while nothing is quarantined. It now takes the same list. A comment on the order of evidence follows the code.

--- a/src/dispatch/crash_quarantine.h
+++ b/src/dispatch/crash_quarantine.h
@@ -119,7 +119,7 @@
 QuarantineChange MergeEvidence(CrashQuarantine& quarantine,
                                std::span<const CrashEvidence> evidence,
                                TimePoint now);
-// Returns evidence that peers may not know yet, the strongest first.
+// Returns evidence that peers may not know yet, the most urgent first.
 std::vector<CrashEvidence> TakeEvidenceToSend(CrashQuarantine& quarantine, TimePoint now);
 // Sends all quarantines once more, for peers that missed one.
 void RepeatQuarantines(CrashQuarantine& quarantine);
--- a/src/edge/internal/crash_watch.cc
+++ b/src/edge/internal/crash_watch.cc
@@ -98,10 +98,11 @@
   }
 }
 
-std::optional<dispatch::QuarantineHit> FindQuarantine(const RequestRun& run) {
+std::optional<dispatch::QuarantineHit> FindQuarantine(const RequestRun& run,
+                                                      std::span<const std::uint64_t> peer_hashes) {
   const EdgeState& edge = *run.edge;
   return dispatch::FindQuarantine(edge.crashes, run.traits, StableHash(edge.settings.address),
-                                  dispatch::PeerHashes(edge.peers), RuntimeClock::now());
+                                  peer_hashes, RuntimeClock::now());
 }
 
 void SendCrashEvidence(EdgeState& edge) {
--- a/src/edge/internal/crash_watch.h
+++ b/src/edge/internal/crash_watch.h
@@ -1,7 +1,9 @@
 #ifndef EDGE_INTERNAL_CRASH_WATCH_H_
 #define EDGE_INTERNAL_CRASH_WATCH_H_
 
+#include <cstdint>
 #include <optional>
+#include <span>
 #include <string_view>
 
 #include "edge/internal/request_run.h"
@@ -17,8 +19,10 @@
 void RecordAnswerBegin(RequestRun& run);
 // Call when the upstream survived the request.
 void RecordAnswered(RequestRun& run);
-// Returns the reason for not sending the request to any upstream now.
-std::optional<dispatch::QuarantineHit> FindQuarantine(const RequestRun& run);
+// Returns the reason for not sending the request to any upstream now. `peer_hashes` are those of
+// the peer table.
+std::optional<dispatch::QuarantineHit> FindQuarantine(const RequestRun& run,
+                                                      std::span<const std::uint64_t> peer_hashes);
 
 // Sends evidence that peers may not know yet. Nothing is sent without such evidence.
 void SendCrashEvidence(EdgeState& edge);
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -205,7 +205,7 @@
   std::string code = "no_upstream";
   std::string reason;
   while (run.stopped == StopReason::kNone) {
-    quarantine = FindQuarantine(run);
+    quarantine = FindQuarantine(run, peer_hashes);
     if (quarantine) {
       code = "quarantined";
       reason = "requests with the trait " + Hexadecimal(quarantine->trait) + " crash upstreams";
