--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -76,6 +76,15 @@
   BOOST_TEST((largest != cut.loads.end()));
 }
 
+// Changes up to four bytes and cuts off the end of every third message.
+std::string Damaged(std::string bytes, std::mt19937_64& random) {
+  for (std::uint64_t change = random() % 4 + 1; change > 0; --change) {
+    bytes[random() % bytes.size()] = static_cast<char>(random());
+  }
+  bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+  return bytes;
+}
+
 // Guards against a process that crashes on a malformed message.
 BOOST_AUTO_TEST_CASE(MalformedDigestsAreDropped) {
   BOOST_TEST(!DecodeDigest("").has_value());
@@ -86,11 +95,7 @@
   const std::string good = EncodeDigest(SampleDigest());
   std::mt19937_64 random(7);
   for (int round = 0; round < 20'000; ++round) {
-    std::string bytes = good;
-    for (std::uint64_t change = random() % 4 + 1; change > 0; --change) {
-      bytes[random() % bytes.size()] = static_cast<char>(random());
-    }
-    bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+    const std::string bytes = Damaged(good, random);
     const dispatch::PeerDigest digest = DecodeDigest(bytes).value_or(dispatch::PeerDigest{});
     BOOST_TEST_REQUIRE((digest.confirmation_age.value_or(0ms) <= 1h));
   }
@@ -135,11 +140,7 @@
   const std::string good = EncodeCrashEvidence(SampleEvidence());
   std::mt19937_64 random(7);
   for (int round = 0; round < 20'000; ++round) {
-    std::string bytes = good;
-    for (std::uint64_t change = random() % 4 + 1; change > 0; --change) {
-      bytes[random() % bytes.size()] = static_cast<char>(random());
-    }
-    bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+    const std::string bytes = Damaged(good, random);
     for (const auto& evidence :
          DecodeCrashEvidence(bytes).value_or(std::vector<dispatch::CrashEvidence>{})) {
       BOOST_TEST_REQUIRE((evidence.quarantine_age <= 24h));
