Log the era of the store and states that are refused

Cause: the logs could not tell whether instances refuse the state of a restored store, never read it, or lose it again to copies from before the restore.

--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -266,6 +266,11 @@
 }
 
 void Edge::OnPublishedState(std::vector<dispatch::PublishedItem> items, std::uint64_t revision) {
+  const std::uint64_t current = this->state->published.revision;
+  if (revision < current) {
+    observability::LogEvent(observability::LogLevel::kWarn, "published_state_ignored",
+                            {{"revision", revision}, {"current_revision", current}});
+  }
   detail::ApplyPublished(
       *this->state, dispatch::ReplaceState(this->state->published, std::move(items), revision));
 }
