Compare positions in the store by era before revision

Cause: the store's revisions were taken for one rising number. A store that is restored from a copy assigns revisions again; the instances refused its whole state as old, read it again 60 times a second, and skipped every change whose revision they had seen before. Class: a counter of another system that is compared across its resets. The same comparison stood in the watch, the paged read, digests, copies between instances and confirmations.

Ruled out: config_version_went_back (no such line), and old state that came back from peers (no state was taken at all).

A position is now an era (Store-Era, in all answers of the store) and a revision. A later era makes an instance read the whole store, or take a peer's copy; what comes from an earlier one changes and confirms nothing. Digests carry the era in flag bits that earlier builds ignore.

What remains: a change that the restore lost is undone until it is written again.

--- a/apps/geranium_edge/main.cc
+++ b/apps/geranium_edge/main.cc
@@ -105,11 +105,11 @@
 
 geraniumspread::platform::StoreCallbacks MakeStoreCallbacks(Edge& edge) {
   geraniumspread::platform::StoreCallbacks callbacks;
-  callbacks.on_state = [&edge](auto items, std::uint64_t revision) {
-    edge.OnPublishedState(std::move(items), revision);
+  callbacks.on_state = [&edge](auto items, geraniumspread::dispatch::StorePosition position) {
+    edge.OnPublishedState(std::move(items), position);
   };
-  callbacks.on_changes = [&edge](auto changes, std::uint64_t revision) {
-    edge.OnPublishedChanges(std::move(changes), revision);
+  callbacks.on_changes = [&edge](auto changes, geraniumspread::dispatch::StorePosition position) {
+    edge.OnPublishedChanges(std::move(changes), position);
   };
   callbacks.on_reachable = [&edge](bool reachable) { edge.OnFeedReachable(reachable); };
   callbacks.on_call = [&edge](geraniumspread::Duration elapsed, bool answered) {
@@ -122,7 +122,7 @@
   callbacks.freshness = [&edge]() -> const geraniumspread::dispatch::FreshnessSettings& {
     return edge.FreshnessBounds();
   };
-  callbacks.revision = [&edge] { return edge.PublishedRevision(); };
+  callbacks.position = [&edge] { return edge.PublishedPosition(); };
   return callbacks;
 }
 
--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -276,17 +276,15 @@
 }
 
 const Peer* ChooseNewerPeer(const PeerTable& peers,
-                            std::uint64_t revision,
+                            StorePosition position,
                             std::mt19937_64& random,
                             TimePoint now) {
   std::vector<const Peer*> best;
   const auto rank = [&](const Peer& peer) {
-    return std::pair(peer.digest.failure_domain == peers.self_domain,
-                     peer.digest.published_revision);
+    return std::pair(peer.digest.failure_domain == peers.self_domain, peer.digest.published);
   };
   for (const auto& [address, peer] : peers.peers) {
-    if (IsLive(peers, peer, now) && !peer.digest.leaving &&
-        peer.digest.published_revision > revision &&
+    if (IsLive(peers, peer, now) && !peer.digest.leaving && peer.digest.published > position &&
         (best.empty() || rank(peer) >= rank(*best.front()))) {
       if (!best.empty() && rank(peer) > rank(*best.front())) {
         best.clear();
--- a/src/dispatch/internal/published_state.cc
+++ b/src/dispatch/internal/published_state.cc
@@ -34,14 +34,41 @@
   return true;
 }
 
+// Replaces the items by those of a later era, whose revisions don't compare with the known ones.
+std::vector<PublishedItem> EnterEra(PublishedState& state,
+                                    std::vector<PublishedItem> items,
+                                    StorePosition position) {
+  std::map<std::string, PublishedItem> previous = std::exchange(state.items, {});
+  std::vector<PublishedItem> changes;
+  for (PublishedItem& item : items) {
+    const auto known = previous.extract(item.key);
+    if (known.empty() || known.mapped().value != item.value) {
+      changes.push_back(item);
+    }
+    std::string key = item.key;
+    state.items.insert_or_assign(std::move(key), std::move(item));
+  }
+  for (const auto& [key, item] : previous) {
+    changes.push_back({key, {}, position.revision, true});
+  }
+  state.recent.clear();
+  state.recent_after = position.revision;
+  state.position = position;
+  state.was_restored = true;
+  return changes;
+}
+
 }  // namespace
 
 std::vector<PublishedItem> ApplyChanges(PublishedState& state,
                                         std::vector<PublishedItem> changes,
-                                        std::uint64_t revision) {
+                                        StorePosition position) {
   std::vector<PublishedItem> applied;
+  if (position.era != state.position.era) {
+    return applied;
+  }
   for (PublishedItem& change : changes) {
-    if (change.revision <= state.revision) {
+    if (change.revision <= state.position.revision) {
       continue;
     }
     // The paged read may have contained this change already. Peers at the revision of
@@ -51,15 +78,25 @@
       applied.push_back(std::move(change));
     }
   }
-  state.revision = std::max(state.revision, revision);
+  state.position = std::max(state.position, position);
   return applied;
 }
 
+bool IsAfterRestore(const PublishedState& state, StorePosition position) {
+  const bool may_be_same_era =
+      state.position.era == 0 && state.position.revision <= position.revision;
+  return state.position.era < position.era && !may_be_same_era;
+}
+
 std::vector<PublishedItem> ReplaceState(PublishedState& state,
                                         std::vector<PublishedItem> items,
-                                        std::uint64_t revision) {
+                                        StorePosition position) {
+  if (IsAfterRestore(state, position)) {
+    return EnterEra(state, std::move(items), position);
+  }
+  state.position.era = std::max(state.position.era, position.era);
   std::vector<PublishedItem> changes;
-  if (revision < state.revision) {
+  if (position < state.position) {
     return changes;
   }
   std::set<std::string> present;
@@ -72,7 +109,7 @@
   }
   for (const auto& [key, item] : state.items) {
     if (!present.contains(key)) {
-      changes.push_back({key, {}, revision, true});
+      changes.push_back({key, {}, position.revision, true});
     }
   }
   // ApplyItem ignores the removal of an item that is newer than the pages: it was
@@ -80,14 +117,14 @@
   std::erase_if(changes,
                 [&state](const PublishedItem& change) { return !ApplyItem(state, change); });
   state.recent.clear();
-  state.recent_after = revision;
-  state.revision = revision;
+  state.recent_after = position.revision;
+  state.position = position;
   return changes;
 }
 
 std::optional<std::vector<PublishedItem>> ChangesSince(const PublishedState& state,
                                                        std::uint64_t revision) {
-  if (revision < state.recent_after || state.revision == 0) {
+  if (revision < state.recent_after || state.position.revision == 0) {
     return std::nullopt;
   }
   std::vector<PublishedItem> changes;
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "dispatch/published_state.h"
 #include "dispatch/upstream_table.h"
 
 // Digest exchange between instances, and the set of known instances. No consensus is
@@ -39,8 +40,8 @@
   std::string address;  // IP number; ports are the same on all instances
   std::string failure_domain;
   bool leaving = false;
-  // Revision of the sender's copy of the published state.
-  std::uint64_t published_revision = 0;
+  // Position of the sender's copy of the published state.
+  StorePosition published;
   // Time since the sender's copy was last confirmed to be at the store's newest
   // revision.
   std::optional<Duration> confirmation_age;
@@ -139,11 +140,11 @@
 // Returns the number of known instances: this one and all peers in the table.
 std::size_t KnownInstances(const PeerTable& peers);
 std::vector<std::uint64_t> PeerHashes(const PeerTable& peers);
-// Returns a random one of the live peers with the highest revision above `revision`,
+// Returns a random one of the live peers with the highest position above `position`,
 // preferring the own failure domain, or null if no peer is ahead. The random choice
 // spreads the transfers of a new revision over the peers that have it.
 const Peer* ChooseNewerPeer(const PeerTable& peers,
-                            std::uint64_t revision,
+                            StorePosition position,
                             std::mt19937_64& random,
                             TimePoint now);
 // True if this instance must watch the store itself: it ranks among the first
--- a/src/dispatch/tests/freshness_test.cc
+++ b/src/dispatch/tests/freshness_test.cc
@@ -153,7 +153,7 @@
       digest.address = other.address;
       digest.failure_domain = other.peers.self_domain;
       digest.sequence = 1;
-      digest.published_revision = 1;
+      digest.published.revision = 1;
       ApplyDigest(instance.peers, instance.upstreams, digest, kStart);
     }
     instance.sequence = 1;
@@ -167,7 +167,7 @@
   digest.address = instance.address;
   digest.failure_domain = instance.peers.self_domain;
   digest.sequence = ++instance.sequence;
-  digest.published_revision = instance.revision;
+  digest.published.revision = instance.revision;
   digest.confirmation_age = ConfirmationAge(instance.freshness, now);
   digest.reads_store = instance.reads && instance.reached;
   std::uniform_real_distribution<double> chance(0, 1);
@@ -187,7 +187,7 @@
 }
 
 void StartPull(FakeFleet& fleet, FakeInstance& instance, TimePoint now) {
-  const Peer* ahead = ChooseNewerPeer(instance.peers, instance.revision, fleet.random, now);
+  const Peer* ahead = ChooseNewerPeer(instance.peers, {0, instance.revision}, fleet.random, now);
   if (ahead == nullptr || instance.pull_ends || (instance.reads && instance.reached)) {
     return;
   }
@@ -279,7 +279,7 @@
     }
     const PeerDigest& digest = datagram.digest;
     if (IsNewDigest(instance.peers, digest) && digest.confirmation_age &&
-        digest.published_revision <= instance.revision) {
+        digest.published.revision <= instance.revision) {
       RecordPeerConfirmation(instance.freshness, *digest.confirmation_age, now);
     }
     ApplyDigest(instance.peers, instance.upstreams, digest, now);
--- a/src/dispatch/tests/peer_table_test.cc
+++ b/src/dispatch/tests/peer_table_test.cc
@@ -19,7 +19,7 @@
   digest.sequence = sequence;
   digest.address = address;
   digest.failure_domain = "b";
-  digest.published_revision = 5;
+  digest.published.revision = 5;
   digest.loads = {{static_cast<std::uint32_t>(StableHash("a0")), running, 100}};
   return digest;
 }
@@ -121,16 +121,16 @@
   PeerTable peers = MakePeers();
   UpstreamTable upstreams = test::MakeTable(1);
   PeerDigest far = Digest("10.0.0.2", 1, 0);
-  far.published_revision = 9;
+  far.published.revision = 9;
   PeerDigest near = Digest("10.0.0.3", 1, 0);
   near.failure_domain = "a";
-  near.published_revision = 8;
+  near.published.revision = 8;
   ApplyDigest(peers, upstreams, far, kStart);
   ApplyDigest(peers, upstreams, near, kStart);
   std::mt19937_64 random(1);
-  BOOST_TEST(ChooseNewerPeer(peers, 7, random, kStart)->digest.address == "10.0.0.3");
-  BOOST_TEST(ChooseNewerPeer(peers, 8, random, kStart)->digest.address == "10.0.0.2");
-  BOOST_TEST(ChooseNewerPeer(peers, 9, random, kStart) == nullptr);
+  BOOST_TEST(ChooseNewerPeer(peers, {0, 7}, random, kStart)->digest.address == "10.0.0.3");
+  BOOST_TEST(ChooseNewerPeer(peers, {0, 8}, random, kStart)->digest.address == "10.0.0.2");
+  BOOST_TEST(ChooseNewerPeer(peers, {0, 9}, random, kStart) == nullptr);
 }
 
 // Guards against one instance that sends a large configuration to its whole failure
@@ -141,13 +141,13 @@
   for (int index = 2; index < 6; ++index) {
     PeerDigest digest = Digest("10.0.0." + std::to_string(index), 1, 0);
     digest.failure_domain = "a";
-    digest.published_revision = index == 2 ? 8 : 9;
+    digest.published.revision = index == 2 ? 8 : 9;
     ApplyDigest(peers, upstreams, digest, kStart);
   }
   std::mt19937_64 random(1);
   std::map<std::string, int> taken;
   for (int draw = 0; draw < 300; ++draw) {
-    ++taken[ChooseNewerPeer(peers, 7, random, kStart)->digest.address];
+    ++taken[ChooseNewerPeer(peers, {0, 7}, random, kStart)->digest.address];
   }
   BOOST_TEST(taken.size() == 3U);
   BOOST_TEST(!taken.contains("10.0.0.2"));
--- a/src/dispatch/tests/state_relay_test.cc
+++ b/src/dispatch/tests/state_relay_test.cc
@@ -23,7 +23,10 @@
 using Values = std::map<std::string, std::string>;
 
 struct Store {
+  std::uint64_t era = 1;
   std::uint64_t revision = 1;
+  // Not restored, so that no value is written twice.
+  std::uint64_t writes = 0;
   std::map<std::string, PublishedItem> items;
   std::deque<PublishedItem> history;
   // Changes up to this revision are compacted and can't be read any more.
@@ -47,9 +50,27 @@
   store.history.clear();
 }
 
+// Loses the changes since `backup`, whose outcome the writers then write again.
+void Restore(Store& store, const Store& backup) {
+  const Store lost = std::exchange(store, backup);
+  store.era = lost.era + 1;
+  store.writes = lost.writes;
+  for (const auto& [key, item] : lost.items) {
+    const auto restored = store.items.find(key);
+    if (restored == store.items.end() || restored->second.value != item.value) {
+      Write(store, key, item.value);
+    }
+  }
+  for (const auto& [key, item] : backup.items) {
+    if (!lost.items.contains(key)) {
+      Remove(store, key);
+    }
+  }
+}
+
 struct Transfer {
   std::vector<PublishedItem> items;
-  std::uint64_t revision = 0;
+  StorePosition position;
   bool is_complete = false;
 };
 
@@ -61,7 +82,7 @@
   // pages again.
   bool reads_pages = true;
   std::vector<PublishedItem> pages;
-  std::uint64_t first_page_revision = 0;
+  StorePosition first_page;
   std::deque<Transfer> on_the_way;
 };
 
@@ -77,13 +98,14 @@
 
 void Take(Copy& copy, Transfer transfer) {
   Apply(copy, transfer.is_complete
-                  ? ReplaceState(copy.state, std::move(transfer.items), transfer.revision)
-                  : ApplyChanges(copy.state, std::move(transfer.items), transfer.revision));
+                  ? ReplaceState(copy.state, std::move(transfer.items), transfer.position)
+                  : ApplyChanges(copy.state, std::move(transfer.items), transfer.position));
 }
 
 void ReadPage(Copy& reader, const Store& store) {
-  if (reader.first_page_revision == 0) {
-    reader.first_page_revision = store.revision;
+  if (reader.pages.empty() || reader.first_page.era != store.era) {
+    reader.pages.clear();
+    reader.first_page = {store.era, store.revision};
   }
   auto next =
       reader.pages.empty() ? store.items.begin() : store.items.upper_bound(reader.pages.back().key);
@@ -91,32 +113,34 @@
     reader.pages.push_back(next->second);
   }
   if (next == store.items.end()) {
-    Take(reader, {std::exchange(reader.pages, {}), reader.first_page_revision, true});
-    reader.first_page_revision = 0;
+    Take(reader, {std::exchange(reader.pages, {}), reader.first_page, true});
     reader.reads_pages = false;
   }
 }
 
 void ReadStore(Copy& reader, const Store& store) {
-  if (!reader.reads_pages && reader.state.revision < store.compacted) {
+  if (!reader.reads_pages && (reader.state.position.revision < store.compacted ||
+                              reader.state.position.era != store.era)) {
     reader.reads_pages = true;
   }
   if (reader.reads_pages) {
     ReadPage(reader, store);
     return;
   }
-  Transfer changes{{}, store.revision};
+  Transfer changes{{}, {store.era, store.revision}};
   std::ranges::copy_if(
       store.history, std::back_inserter(changes.items),
-      [&](const PublishedItem& item) { return item.revision > reader.state.revision; });
+      [&](const PublishedItem& item) { return item.revision > reader.state.position.revision; });
   Take(reader, std::move(changes));
 }
 
-Transfer TransferAfter(const PublishedState& state, std::uint64_t revision) {
-  if (auto changes = ChangesSince(state, revision); changes) {
-    return {std::move(*changes), state.revision};
+Transfer TransferAfter(const PublishedState& state, StorePosition position) {
+  auto changes =
+      position.era == state.position.era ? ChangesSince(state, position.revision) : std::nullopt;
+  if (changes) {
+    return {std::move(*changes), state.position};
   }
-  Transfer transfer{{}, state.revision, true};
+  Transfer transfer{{}, state.position, true};
   for (const auto& [key, item] : state.items) {
     transfer.items.push_back(item);
   }
@@ -124,8 +148,8 @@
 }
 
 void Pull(Copy& copy, const Copy& from) {
-  if (from.state.revision > copy.state.revision) {
-    copy.on_the_way.push_back(TransferAfter(from.state, copy.state.revision));
+  if (from.state.position > copy.state.position) {
+    copy.on_the_way.push_back(TransferAfter(from.state, copy.state.position));
   }
 }
 
@@ -141,7 +165,7 @@
   if (random() % 4 == 0) {
     Remove(store, key);
   } else {
-    Write(store, key, "state " + std::to_string(store.revision));
+    Write(store, key, "state " + std::to_string(++store.writes));
   }
 }
 
@@ -171,7 +195,7 @@
   }
 }
 
-// Runs until every copy has the store's revision, without further changes.
+// Runs until every copy has the store's position, without further changes.
 void Settle(const Store& store, std::vector<Copy>& copies) {
   constexpr int kRounds = 100;
   for (int round = 0; round < kRounds; ++round) {
@@ -210,7 +234,38 @@
       for (std::size_t index = 0; index < kCopies; ++index) {
         const Copy& copy = copies[index];
         BOOST_TEST_CONTEXT("copy " << index) {
-          BOOST_TEST(copy.state.revision == store.revision);
+          BOOST_TEST((copy.state.position == StorePosition{store.era, store.revision}));
+          BOOST_TEST((ValuesOf(copy.state.items) == ValuesOf(store.items)));
+          BOOST_TEST((copy.applied == ValuesOf(store.items)));
+        }
+      }
+    }
+  }
+}
+
+// Guards against copies that keep the state of before a restore, or mix it with changes of
+// another era that have the same revisions.
+BOOST_AUTO_TEST_CASE(ACopyFollowsRestoresOfTheStore) {
+  constexpr unsigned kSeeds = 300;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      std::mt19937 random(seed);
+      Store store;
+      Store backup;
+      std::vector<Copy> copies(kCopies);
+      for (int step = 0; step < kSteps; ++step) {
+        Step(store, copies, random);
+        if (random() % 30 == 0) {
+          backup = store;
+        } else if (random() % 60 == 0) {
+          Restore(store, backup);
+        }
+      }
+      Settle(store, copies);
+      for (std::size_t index = 0; index < kCopies; ++index) {
+        const Copy& copy = copies[index];
+        BOOST_TEST_CONTEXT("copy " << index) {
+          BOOST_TEST((copy.state.position == StorePosition{store.era, store.revision}));
           BOOST_TEST((ValuesOf(copy.state.items) == ValuesOf(store.items)));
           BOOST_TEST((copy.applied == ValuesOf(store.items)));
         }
@@ -223,25 +278,27 @@
 // pages: the reader never had the entry, but its peers still have it.
 BOOST_AUTO_TEST_CASE(ARemovalBetweenTwoPagesReachesPeers) {
   PublishedState peer;
-  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, 10);
+  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, {0, 10});
   PublishedState reader;
   // The first page shows revision 10; "b" was removed at 11, before the second page.
-  ReplaceState(reader, {{"a", "ready", 1}}, 10);
-  ApplyChanges(reader, {{"b", {}, 11, true}}, 11);
-  ApplyChanges(peer, ChangesSince(reader, peer.revision).value_or(std::vector<PublishedItem>{}),
-               reader.revision);
+  ReplaceState(reader, {{"a", "ready", 1}}, {0, 10});
+  ApplyChanges(reader, {{"b", {}, 11, true}}, {0, 11});
+  ApplyChanges(peer,
+               ChangesSince(reader, peer.position.revision).value_or(std::vector<PublishedItem>{}),
+               reader.position);
   BOOST_TEST(!peer.items.contains("b"));
 }
 
 // Guards against the same fault for an upstream that announced that it is leaving.
 BOOST_AUTO_TEST_CASE(AChangeBetweenTwoPagesReachesPeers) {
   PublishedState peer;
-  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, 10);
+  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, {0, 10});
   PublishedState reader;
-  ReplaceState(reader, {{"a", "ready", 1}, {"b", "draining", 11}}, 10);
-  ApplyChanges(reader, {{"b", "draining", 11}}, 11);
-  ApplyChanges(peer, ChangesSince(reader, peer.revision).value_or(std::vector<PublishedItem>{}),
-               reader.revision);
+  ReplaceState(reader, {{"a", "ready", 1}, {"b", "draining", 11}}, {0, 10});
+  ApplyChanges(reader, {{"b", "draining", 11}}, {0, 11});
+  ApplyChanges(peer,
+               ChangesSince(reader, peer.position.revision).value_or(std::vector<PublishedItem>{}),
+               reader.position);
   BOOST_TEST(peer.items.at("b").value == "draining");
 }
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -37,11 +37,13 @@
   void Stop(std::function<void()> stopped);
 
   // Called by the client that reads the platform's store.
-  void OnPublishedChanges(std::vector<dispatch::PublishedItem> changes, std::uint64_t revision);
-  void OnPublishedState(std::vector<dispatch::PublishedItem> items, std::uint64_t revision);
+  void OnPublishedChanges(std::vector<dispatch::PublishedItem> changes,
+                          dispatch::StorePosition position);
+  void OnPublishedState(std::vector<dispatch::PublishedItem> items,
+                        dispatch::StorePosition position);
   void OnFeedReachable(bool reachable);
   void RecordFeedCall(Duration elapsed, bool answered);
-  std::uint64_t PublishedRevision() const;
+  dispatch::StorePosition PublishedPosition() const;
   // Records that the published state held everything that the store held at `confirmed_at`.
   void OnFeedConfirmed(TimePoint confirmed_at);
   // Decides whether this instance watches the store, queries it once, or relies on its peers,
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -68,7 +68,7 @@
              {{"upstream", upstream.listing.id},
               {"started_at_ms", upstream.listing.started_at_ms},
               {"request_id", run.request.id},
-              {"published_revision", run.edge->published.revision}});
+              {"published_revision", run.edge->published.position.revision}});
   }
   if (dispatch::RecordNamedLimit(upstream, answer.requests_per_second, sent_at,
                                  RuntimeClock::now())) {
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -256,31 +256,30 @@
 }
 
 void Edge::OnPublishedChanges(std::vector<dispatch::PublishedItem> changes,
-                              std::uint64_t revision) {
-  const std::uint64_t before = this->state->published.revision;
+                              dispatch::StorePosition position) {
+  const dispatch::StorePosition before = this->state->published.position;
   detail::ApplyPublished(
-      *this->state, dispatch::ApplyChanges(this->state->published, std::move(changes), revision));
-  if (this->state->published.revision > before) {
+      *this->state, dispatch::ApplyChanges(this->state->published, std::move(changes), position));
+  if (this->state->published.position > before) {
     detail::SendDigests(*this->state);
   }
 }
 
-void Edge::OnPublishedState(std::vector<dispatch::PublishedItem> items, std::uint64_t revision) {
-  const std::uint64_t current = this->state->published.revision;
-  if (revision < current) {
-    observability::LogEvent(observability::LogLevel::kWarn, "published_state_ignored",
-                            {{"revision", revision}, {"current_revision", current}});
+void Edge::OnPublishedState(std::vector<dispatch::PublishedItem> items,
+                            dispatch::StorePosition position) {
+  const std::uint64_t era = this->state->published.position.era;
+  detail::ReplacePublished(*this->state, std::move(items), position);
+  if (this->state->published.position.era > era) {
+    detail::SendDigests(*this->state);
   }
-  detail::ApplyPublished(
-      *this->state, dispatch::ReplaceState(this->state->published, std::move(items), revision));
 }
 
 void Edge::OnFeedConfirmed(TimePoint confirmed_at) {
   dispatch::RecordConfirmation(this->state->freshness, confirmed_at);
 }
 
-std::uint64_t Edge::PublishedRevision() const {
-  return this->state->published.revision;
+dispatch::StorePosition Edge::PublishedPosition() const {
+  return this->state->published.position;
 }
 
 const dispatch::FreshnessSettings& Edge::FreshnessBounds() const {
@@ -296,7 +295,7 @@
   const bool asks = dispatch::ShouldQueryStore(edge.freshness, place, now);
   if (reads != edge.reads_store) {
     observability::LogEvent(observability::LogLevel::kInfo, "store_reading",
-                            {{"reads", reads}, {"revision", edge.published.revision}});
+                            {{"reads", reads}, {"revision", edge.published.position.revision}});
     edge.reads_store = reads;
   }
   if (!asks) {
@@ -309,7 +308,7 @@
     observability::LogEvent(observability::LogLevel::kInfo, "store_asked",
                             {{"confirmation_age_ms", age ? detail::Milliseconds(*age) : -1},
                              {"place", place},
-                             {"revision", edge.published.revision}});
+                             {"revision", edge.published.position.revision}});
   }
   edge.queries_store = true;
   return dispatch::StoreReadMode::kQuery;
@@ -323,10 +322,10 @@
 void Edge::OnFeedReachable(bool reachable) {
   if (this->state->feed_reachable && !reachable) {
     observability::LogEvent(observability::LogLevel::kWarn, "store_lost",
-                            {{"revision", this->state->published.revision}});
+                            {{"revision", this->state->published.position.revision}});
   } else if (!this->state->feed_reachable && reachable) {
     observability::LogEvent(observability::LogLevel::kInfo, "store_reached",
-                            {{"revision", this->state->published.revision}});
+                            {{"revision", this->state->published.position.revision}});
   }
   this->state->feed_reachable = reachable;
 }
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -57,6 +57,8 @@
 
   dispatch::PublishedState published;
   std::optional<dispatch::RoutingConfig> config;
+  // Era of the store when `config` took effect.
+  std::uint64_t config_era = 0;
   dispatch::UpstreamTable upstreams;
   dispatch::PeerTable peers;
   dispatch::RetryBudgetShare retries;
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -28,6 +28,9 @@
 constexpr double kThousand = 1000;
 constexpr unsigned kLeaving = 1;
 constexpr unsigned kReadsStore = 2;
+// The flags also carry the era of the store, in bits that earlier builds ignore.
+constexpr unsigned kEraShift = 16;
+constexpr std::uint64_t kMaxEra = 0xffff;
 // Fits one packet on a link with the usual MTU.
 constexpr std::size_t kMaxDigestBytes = 1400;
 // A digest carries at most this many loads, the largest ones. A row takes up to 20 bytes.
@@ -191,17 +194,27 @@
   }
 }
 
+json::array EncodeItem(const dispatch::PublishedItem& item) {
+  return {item.key, item.value, item.revision, item.removed};
+}
+
+dispatch::PublishedItem DecodeItem(const json::value& value) {
+  const json::array& row = value.as_array();
+  return {std::string(row.at(0).as_string()), std::string(row.at(1).as_string()),
+          row.at(2).to_number<std::uint64_t>(), row.at(3).as_bool()};
+}
+
 StateTransfer DecodeText(std::string_view text) {
   const json::object object = Parse(text);
   StateTransfer transfer;
-  transfer.revision = object.at("revision").to_number<std::uint64_t>();
+  transfer.position.revision = object.at("revision").to_number<std::uint64_t>();
+  if (const json::value* era = object.if_contains("era"); era != nullptr) {
+    transfer.position.era = era->to_number<std::uint64_t>();
+  }
   transfer.is_complete = object.at("complete").as_bool();
   transfer.confirmation_age = DecodeAge(object.at("confirmation_age_ms"));
   for (const json::value& value : object.at("items").as_array()) {
-    const json::array& row = value.as_array();
-    transfer.items.push_back({std::string(row.at(0).as_string()),
-                              std::string(row.at(1).as_string()),
-                              row.at(2).to_number<std::uint64_t>(), row.at(3).as_bool()});
+    transfer.items.push_back(DecodeItem(value));
   }
   return transfer;
 }
@@ -210,8 +223,8 @@
 
 // A digest is a CBOR array, for small size, since it is sent to several peers every 200 ms.
 // Its elements are: version, instance, incarnation, sequence, address, failure domain,
-// flags, revision, age of the confirmation, a flat array of loads (three numbers each),
-// known addresses, a flat array of reports (three numbers each).
+// flags with the era, revision, age of the confirmation, a flat array of loads (three
+// numbers each), known addresses, a flat array of reports (three numbers each).
 std::string EncodeDigest(const dispatch::PeerDigest& digest) {
   Cbor loads = Cbor::array();
   for (const dispatch::UpstreamLoad& load : LargestLoads(digest.loads)) {
@@ -223,7 +236,9 @@
                    {report.upstream_key, report.requests,
                     std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count()});
   }
-  const unsigned flags = (digest.leaving ? kLeaving : 0) | (digest.reads_store ? kReadsStore : 0);
+  const unsigned flags =
+      (digest.leaving ? kLeaving : 0) | (digest.reads_store ? kReadsStore : 0) |
+      (static_cast<unsigned>(std::min(digest.published.era, kMaxEra)) << kEraShift);
   const Cbor age =
       digest.confirmation_age
           ? Cbor(std::chrono::duration_cast<std::chrono::milliseconds>(*digest.confirmation_age)
@@ -236,7 +251,7 @@
                         digest.address,
                         digest.failure_domain,
                         flags,
-                        digest.published_revision,
+                        digest.published.revision,
                         age,
                         std::move(loads),
                         digest.known_addresses,
@@ -266,7 +281,7 @@
     const auto flags = Number<unsigned>(message.at(6));
     digest.leaving = (flags & kLeaving) != 0;
     digest.reads_store = (flags & kReadsStore) != 0;
-    digest.published_revision = Number<std::uint64_t>(message.at(7));
+    digest.published = {flags >> kEraShift, Number<std::uint64_t>(message.at(7))};
     if (const Cbor& age = message.at(8); !age.is_null()) {
       digest.confirmation_age = ValidateAge(Number<std::uint64_t>(age));
     }
@@ -325,10 +340,11 @@
 std::string EncodeTransfer(const StateTransfer& transfer) {
   json::array items;
   for (const dispatch::PublishedItem& item : transfer.items) {
-    items.push_back(json::array{item.key, item.value, item.revision, item.removed});
+    items.push_back(EncodeItem(item));
   }
   std::string text =
-      json::serialize(json::object{{"revision", transfer.revision},
+      json::serialize(json::object{{"revision", transfer.position.revision},
+                                   {"era", transfer.position.era},
                                    {"complete", transfer.is_complete},
                                    {"confirmation_age_ms", EncodeAge(transfer.confirmation_age)},
                                    {"items", std::move(items)}});
--- a/src/edge/internal/peer_codec.h
+++ b/src/edge/internal/peer_codec.h
@@ -29,9 +29,10 @@
 
 // Published state sent to a peer: a full snapshot, or the changes after a revision.
 struct StateTransfer {
-  std::uint64_t revision = 0;
+  // The era is 0 if the sender's build doesn't know eras.
+  dispatch::StorePosition position;
   bool is_complete = false;
-  // Time since the sender last confirmed that `revision` was the store's newest.
+  // Time since the sender last confirmed that `position` was the store's newest.
   std::optional<Duration> confirmation_age;
   std::vector<dispatch::PublishedItem> items;
 };
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -27,6 +27,7 @@
 constexpr std::size_t kNewsTargets = 4;
 constexpr std::size_t kMaxDatagramBytes = std::size_t{2} * 1024;
 constexpr std::string_view kStateTarget = "/published?after=";
+constexpr std::string_view kEraParameter = "&era=";
 // Allows for some megabytes of state over a 10 Mbit/s link. After a timeout, another peer
 // is tried.
 constexpr Duration kPullTimeout = std::chrono::seconds(3);
@@ -58,7 +59,7 @@
   digest.address = edge.settings.address;
   digest.failure_domain = edge.settings.failure_domain;
   digest.leaving = edge.stopping;
-  digest.published_revision = edge.published.revision;
+  digest.published = edge.published.position;
   digest.confirmation_age = dispatch::ConfirmationAge(edge.freshness, RuntimeClock::now());
   digest.reads_store = edge.feed_reachable && edge.reads_store;
   digest.loads = dispatch::OwnLoads(edge.upstreams);
@@ -79,10 +80,14 @@
   }
 }
 
-asio::awaitable<void> PullState(Edge edge, std::string address, std::string instance) {
-  const std::uint64_t after = edge->published.revision;
+// Copies the peer's state after the position `after`, or all of it if the era differs.
+asio::awaitable<void> PullState(Edge edge,
+                                std::string address,
+                                std::string instance,
+                                dispatch::StorePosition after) {
   transport::Endpoint endpoint(address, edge->settings.peer_endpoint.port);
-  transport::HttpRequest request("GET", std::string(kStateTarget) + std::to_string(after));
+  transport::HttpRequest request("GET", std::string(kStateTarget) + std::to_string(after.revision) +
+                                            std::string(kEraParameter) + std::to_string(after.era));
   transport::ExchangeTimeouts timeouts;
   timeouts.connect = std::chrono::milliseconds(250);
   timeouts.first_byte = std::chrono::milliseconds(500);
@@ -99,36 +104,54 @@
   }
   if (!transfer) {
     edge->metrics.Count("geranium_peer_pull_failures_total");
-    LogEvent(LogLevel::kWarn, "peer_state_pull_failed", {{"peer", instance}, {"after", after}});
+    LogEvent(LogLevel::kWarn, "peer_state_pull_failed",
+             {{"peer", instance}, {"after", after.revision}});
     co_return;
   }
   LogEvent(LogLevel::kInfo, "peer_state_pulled",
            {{"peer", instance},
-            {"after", after},
-            {"revision", transfer->revision},
+            {"after", after.revision},
+            {"era", transfer->position.era},
+            {"revision", transfer->position.revision},
             {"items", transfer->items.size()},
             {"complete", transfer->is_complete},
             {"store_reachable", edge->feed_reachable}});
-  ApplyPublished(*edge, transfer->is_complete
-                            ? dispatch::ReplaceState(edge->published, std::move(transfer->items),
-                                                     transfer->revision)
-                            : dispatch::ApplyChanges(edge->published, std::move(transfer->items),
-                                                     transfer->revision));
+  if (transfer->is_complete) {
+    ReplacePublished(*edge, std::move(transfer->items), transfer->position);
+  } else {
+    ApplyPublished(*edge, dispatch::ApplyChanges(edge->published, std::move(transfer->items),
+                                                 transfer->position));
+  }
   // The peer computed the age after the request was sent, so counting from `asked_at`
   // never makes the confirmation look newer than it is.
-  if (transfer->confirmation_age && edge->published.revision == transfer->revision) {
+  if (transfer->confirmation_age && edge->published.position == transfer->position) {
     dispatch::RecordConfirmation(edge->freshness, asked_at - *transfer->confirmation_age);
   }
 }
 
-// Adopts the peer's confirmation if this instance's published state is at least as new.
+// Adopts the peer's confirmation if this instance's published state is at least as new. A
+// confirmation from another era may be about a state that the store has lost.
 void ConfirmByDigest(EdgeState& edge, const dispatch::PeerDigest& digest) {
-  if (digest.confirmation_age && digest.published_revision != 0 &&
-      digest.published_revision <= edge.published.revision) {
+  const dispatch::StorePosition& position = edge.published.position;
+  if (digest.confirmation_age && digest.published.revision != 0 &&
+      digest.published.era == position.era && digest.published <= position) {
     dispatch::RecordPeerConfirmation(edge.freshness, *digest.confirmation_age, RuntimeClock::now());
   }
 }
 
+// Decodes "REVISION&era=ERA". Earlier builds send the revision alone.
+dispatch::StorePosition DecodePosition(std::string_view text) {
+  dispatch::StorePosition position;
+  const auto [rest, error] =
+      std::from_chars(text.data(), text.data() + text.size(), position.revision);
+  text.remove_prefix(static_cast<std::size_t>(rest - text.data()));
+  if (error == std::errc{} && text.starts_with(kEraParameter)) {
+    text.remove_prefix(kEraParameter.size());
+    std::from_chars(text.data(), text.data() + text.size(), position.era);
+  }
+  return position;
+}
+
 }  // namespace
 
 asio::awaitable<void> ReceiveDigests(Edge edge) {
@@ -167,7 +190,7 @@
                {{"peer", digest->instance},
                 {"change", ToString(change)},
                 {"address", digest->address},
-                {"revision", digest->published_revision},
+                {"revision", digest->published.revision},
                 {"instances", dispatch::KnownInstances(edge->peers)}});
     }
     PullIfBehind(edge);
@@ -204,7 +227,7 @@
 void PullIfBehind(const Edge& edge) {
   const TimePoint now = RuntimeClock::now();
   const dispatch::Peer* ahead =
-      dispatch::ChooseNewerPeer(edge->peers, edge->published.revision, edge->random, now);
+      dispatch::ChooseNewerPeer(edge->peers, edge->published.position, edge->random, now);
   if (ahead == nullptr) {
     edge->behind_since.reset();
     return;
@@ -216,8 +239,10 @@
     return;
   }
   edge->pulling = true;
-  asio::co_spawn(edge->io, PullState(edge, ahead->digest.address, ahead->digest.instance),
-                 asio::detached);
+  asio::co_spawn(
+      edge->io,
+      PullState(edge, ahead->digest.address, ahead->digest.instance, edge->published.position),
+      asio::detached);
 }
 
 asio::awaitable<void> ServePeerState(Edge edge,
@@ -228,17 +253,21 @@
     co_await responder.Send(std::move(not_found));
     co_return;
   }
-  const std::string_view digits = std::string_view(request.target).substr(kStateTarget.size());
-  std::uint64_t after = 0;
-  std::from_chars(digits.data(), digits.data() + digits.size(), after);
+  const dispatch::StorePosition after =
+      DecodePosition(std::string_view(request.target).substr(kStateTarget.size()));
+  const dispatch::PublishedState& state = edge->published;
+  // Earlier builds name no era.
+  const bool is_same_era =
+      after.era == state.position.era || (after.era == 0 && !state.was_restored);
   StateTransfer transfer;
-  transfer.revision = edge->published.revision;
+  transfer.position = state.position;
   transfer.confirmation_age = dispatch::ConfirmationAge(edge->freshness, RuntimeClock::now());
-  if (auto changes = dispatch::ChangesSince(edge->published, after); changes) {
+  auto changes = is_same_era ? dispatch::ChangesSince(state, after.revision) : std::nullopt;
+  if (changes) {
     transfer.items = std::move(*changes);
   } else {
     transfer.is_complete = true;
-    for (const auto& [key, item] : edge->published.items) {
+    for (const auto& [key, item] : state.items) {
       transfer.items.push_back(item);
     }
   }
--- a/src/edge/internal/published_feed.cc
+++ b/src/edge/internal/published_feed.cc
@@ -61,7 +61,8 @@
            const dispatch::PublishedItem& item,
            dispatch::RoutingConfig config) {
   const std::uint64_t previous = edge.config ? edge.config->version : 0;
-  if (config.version < previous) {
+  // After a restore the operators may decide on a lower version.
+  if (config.version < previous && edge.config_era == edge.published.position.era) {
     LogEvent(LogLevel::kError, "config_version_went_back",
              {{"version", config.version}, {"in_force", previous}, {"revision", item.revision}});
     return;
@@ -70,12 +71,14 @@
            {{"version", config.version},
             {"previous", previous},
             {"revision", item.revision},
+            {"era", edge.published.position.era},
             {"services", config.services.size()},
             {"keys", config.keys.size()}});
   if (edge.caller_server) {
     edge.caller_server->SetLimits(LimitsOf(config.limits));
   }
   edge.config = std::move(config);
+  edge.config_era = edge.published.position.era;
 }
 
 void Apply(EdgeState& edge,
@@ -148,10 +151,34 @@
              {{"changes", changes.size()},
               {"upstreams_added", batch.upstreams_added},
               {"upstreams", edge.upstreams.rows.size()},
-              {"revision", edge.published.revision}});
+              {"revision", edge.published.position.revision}});
   }
 }
 
+void ReplacePublished(EdgeState& edge,
+                      std::vector<dispatch::PublishedItem> items,
+                      dispatch::StorePosition position) {
+  const dispatch::StorePosition previous = edge.published.position;
+  const bool is_restore = dispatch::IsAfterRestore(edge.published, position);
+  const auto changes = dispatch::ReplaceState(edge.published, std::move(items), position);
+  if (is_restore) {
+    edge.metrics.Count("geranium_store_restores_total");
+    LogEvent(LogLevel::kWarn, "store_restored",
+             {{"era", position.era},
+              {"revision", position.revision},
+              {"previous_era", previous.era},
+              {"previous_revision", previous.revision},
+              {"changes", changes.size()}});
+  } else if (edge.published.position != position) {
+    LogEvent(LogLevel::kInfo, "published_state_ignored",
+             {{"era", position.era},
+              {"revision", position.revision},
+              {"current_era", previous.era},
+              {"current_revision", previous.revision}});
+  }
+  ApplyPublished(edge, changes);
+}
+
 void ExpireHeldRemovals(EdgeState& edge) {
   for (const std::string& id : dispatch::ExpireRemovals(edge.upstreams, RuntimeClock::now())) {
     LogEvent(LogLevel::kInfo, "upstream_removed", {{"upstream", id}, {"reason", "not_relisted"}});
--- a/src/edge/internal/published_feed.h
+++ b/src/edge/internal/published_feed.h
@@ -10,6 +10,10 @@
 // Applies new published items to the configuration, the upstreams and the failure domains
 // in service.
 void ApplyPublished(EdgeState& edge, const std::vector<dispatch::PublishedItem>& changes);
+// Replaces all published items and applies the changes. Logs a restore of the store.
+void ReplacePublished(EdgeState& edge,
+                      std::vector<dispatch::PublishedItem> items,
+                      dispatch::StorePosition position);
 // Removes upstreams whose delayed removal is due.
 void ExpireHeldRemovals(EdgeState& edge);
 
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -46,7 +46,7 @@
             {"ran", ToString(refusal.ran)},
             {"retry_after_ms", Milliseconds(refusal.retry_after)},
             {"config", ConfigVersion(edge)},
-            {"published_revision", edge.published.revision}});
+            {"published_revision", edge.published.position.revision}});
   edge.metrics.Count("geranium_refusals_total", {{"code", refusal.code}});
   transport::HttpResponse response = edge.codec.encode_refusal(refusal, request_id);
   co_await responder.Send(std::move(response));
@@ -157,7 +157,7 @@
             {"shared_parts", DescribeSharedParts(run.request.prompt)},
             {"candidates", Describe(selection)},
             {"config", ConfigVersion(*run.edge)},
-            {"published_revision", run.edge->published.revision}});
+            {"published_revision", run.edge->published.position.revision}});
 }
 
 RunState RunStateAfter(AttemptResult result) {
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -34,7 +34,7 @@
           {"live", dispatch::IsLive(edge.peers, peer, now)},
           {"leaving", peer.digest.leaving},
           {"reads_store", peer.digest.reads_store},
-          {"published_revision", peer.digest.published_revision},
+          {"published_revision", peer.digest.published.revision},
           {"heard_ms_ago", Milliseconds(now - peer.last_digest_at)}};
 }
 
@@ -96,7 +96,8 @@
                              : IsReady(edge) ? "ready"
                                              : "starting"},
                    {"config", edge.config ? edge.config->version : 0},
-                   {"published_revision", edge.published.revision},
+                   {"store_era", edge.published.position.era},
+                   {"published_revision", edge.published.position.revision},
                    {"confirmation_age_ms", confirmation_age ? Milliseconds(*confirmation_age) : -1},
                    {"store_reachable", edge.feed_reachable},
                    {"reads_store", edge.reads_store},
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -128,10 +128,18 @@
   return route;
 }
 
+// The value of the configuration is its version, or empty.
+std::optional<std::uint64_t> StatedVersion(const dispatch::PublishedItem& item) {
+  std::uint64_t version = 0;
+  const auto [end, error] =
+      std::from_chars(item.value.data(), item.value.data() + item.value.size(), version);
+  return item.key == "config" && error == std::errc{} ? std::optional(version) : std::nullopt;
+}
+
 PublishedChange DecodeItem(const dispatch::PublishedItem& item) {
   if (item.key == "config") {
     dispatch::RoutingConfig config;
-    config.version = item.revision;
+    config.version = StatedVersion(item).value_or(item.revision);
     using dispatch::Repeatability;
     for (const auto& [prefix, repeatability] :
          {std::pair("/lookup/", Repeatability::kRepeatable),
@@ -349,9 +357,9 @@
   const std::vector<dispatch::PublishedItem> changes{
       {"config", "", this->revision},
       {"u" + std::to_string(this->upstreams.size()), upstream.Address(), this->revision + 1}};
-  this->edge->OnPublishedChanges(changes, this->revision + 1);
+  this->edge->OnPublishedChanges(changes, {this->era, this->revision + 1});
   for (const auto& other : this->other_instances) {
-    other->OnPublishedChanges(changes, this->revision + 1);
+    other->OnPublishedChanges(changes, {this->era, this->revision + 1});
   }
   ++this->revision;
   return upstream;
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -93,6 +93,8 @@
   std::size_t current = 0;
   std::vector<std::unique_ptr<RawUpstream>> upstreams;
   std::uint64_t revision = 1;
+  // Era of the store.
+  std::uint64_t era = 0;
 };
 
 }  // namespace geraniumspread::edge::test
--- a/src/edge/tests/edge_log_test.cc
+++ b/src/edge/tests/edge_log_test.cc
@@ -85,7 +85,7 @@
     BOOST_TEST(log.Has("request_refused", "code", code), code);
   }
   BOOST_TEST(log.Has("attempt", "result", "rejected"));
-  fixture.edge->OnPublishedState({{"config", "", fixture.revision + 9}}, fixture.revision + 9);
+  fixture.edge->OnPublishedState({{"config", "", fixture.revision + 9}}, {0, fixture.revision + 9});
   fixture.Call("/order/1").value();
   BOOST_TEST(log.Has("request_refused", "code", "no_upstream"));
   for (const json::object& line : log.Lines("request_refused")) {
@@ -160,7 +160,8 @@
   fixture.AddUpstream({Sealed("whole")});
   fixture.edge->OnFeedReachable(true);
   fixture.edge->OnFeedReachable(false);
-  fixture.edge->OnPublishedChanges({{"u1", "", fixture.revision + 1, true}}, fixture.revision + 1);
+  fixture.edge->OnPublishedChanges({{"u1", "", fixture.revision + 1, true}},
+                                   {0, fixture.revision + 1});
   for (const std::string_view event :
        {"config_in_force", "upstream_listed", "upstream_removed", "store_reached", "store_lost"}) {
     BOOST_TEST(!log.Lines(event).empty(), event);
@@ -176,11 +177,11 @@
   for (std::size_t upstream = 0; upstream < changes.size(); ++upstream) {
     changes[upstream] = {"many" + std::to_string(upstream), "127.0.0.1:1", ++fixture.revision};
   }
-  fixture.edge->OnPublishedChanges(std::move(changes), fixture.revision);
+  fixture.edge->OnPublishedChanges(std::move(changes), {0, fixture.revision});
   BOOST_TEST(log.Lines("published_state_applied").size() == 1U);
   BOOST_TEST(log.Lines("upstream_listed").empty());
   fixture.edge->OnPublishedChanges({{"many7", "", fixture.revision + 1, true}},
-                                   fixture.revision + 1);
+                                   {0, fixture.revision + 1});
   BOOST_TEST(log.Lines("upstream_removed").size() == 1U);
 }
 
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -252,7 +252,7 @@
   EdgeFixture fixture;
   fixture.AddUpstream({Sealed("whole")});
   const std::uint64_t revision = fixture.revision + 1;
-  fixture.edge->OnPublishedChanges({{"a-first", "127.0.0.1:1", revision}}, revision);
+  fixture.edge->OnPublishedChanges({{"a-first", "127.0.0.1:1", revision}}, {0, revision});
   for (int order = 0; order < 4; ++order) {
     BOOST_TEST(fixture.Call("/order/1").value().status == 200);
   }
@@ -430,7 +430,7 @@
 BOOST_AUTO_TEST_CASE(AnOlderSnapshotOfTheStoreIsIgnored) {
   EdgeFixture fixture;
   fixture.AddUpstream({Sealed("whole")});
-  fixture.edge->OnPublishedState({}, 1);
+  fixture.edge->OnPublishedState({}, {0, 1});
   BOOST_TEST(fixture.Call("/order/1").value().status == 200);
 }
 
@@ -440,7 +440,8 @@
   EdgeFixture fixture;
   RawUpstream& upstream = fixture.AddUpstream({Sealed("whole")});
   fixture.RunFor(300ms);
-  fixture.edge->OnPublishedChanges({{"u1", "", fixture.revision + 1, true}}, fixture.revision + 1);
+  fixture.edge->OnPublishedChanges({{"u1", "", fixture.revision + 1, true}},
+                                   {0, fixture.revision + 1});
   BOOST_TEST(fixture.Call("/order/1").value().status == 503);
   BOOST_TEST(upstream.requests.empty());
 }
@@ -458,7 +459,7 @@
     BOOST_TEST(upstream.requests.size() == 1U);
     BOOST_TEST(fixture.Call("/order/2").value().status == 503);
     fixture.edge->OnPublishedChanges({{"u1", upstream.Address(), fixture.revision + 1}},
-                                     fixture.revision + 1);
+                                     {0, fixture.revision + 1});
     BOOST_TEST(fixture.Call("/order/3").value().status == 503);
     BOOST_TEST(upstream.requests.size() == 1U);
   }
@@ -498,7 +499,8 @@
   BOOST_TEST(fixture.Call("/order/3").value().status == 200);
   BOOST_TEST(other.requests.size() == 1U);
   BOOST_TEST(upstream.requests.size() == 1U);
-  fixture.edge->OnPublishedChanges({{"u2", "", fixture.revision + 1, true}}, fixture.revision + 1);
+  fixture.edge->OnPublishedChanges({{"u2", "", fixture.revision + 1, true}},
+                                   {0, fixture.revision + 1});
   fixture.RunFor(
       std::chrono::ceil<std::chrono::milliseconds>(asked_at + 1200ms - RuntimeClock::now()));
   BOOST_TEST(fixture.Call("/order/4").value().status == 200);
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -17,7 +17,7 @@
   digest.address = "10.1.0.16";
   digest.failure_domain = "zone-a";
   digest.leaving = true;
-  digest.published_revision = 77;
+  digest.published.revision = 77;
   digest.confirmation_age = 340ms;
   digest.reads_store = true;
   digest.loads = {{0xfedcba98U, 3, 9000}, {5, 1, 0}};
@@ -37,7 +37,7 @@
   BOOST_TEST(digest.failure_domain == sent.failure_domain);
   BOOST_TEST(digest.leaving);
   BOOST_TEST(digest.reads_store);
-  BOOST_TEST(digest.published_revision == 77U);
+  BOOST_TEST(digest.published.revision == 77U);
   BOOST_TEST((digest.confirmation_age == 340ms));
   BOOST_TEST_REQUIRE(digest.loads.size() == 2U);
   BOOST_TEST(digest.loads.front().upstream_key == 0xfedcba98U);
@@ -179,13 +179,24 @@
 
 StateTransfer SampleTransfer(std::size_t value_bytes) {
   StateTransfer transfer;
-  transfer.revision = 9;
+  transfer.position = {3, 9};
   transfer.is_complete = true;
   transfer.confirmation_age = 12ms;
   transfer.items = {{"config", std::string(value_bytes, '"'), 9, false}, {"gone", {}, 8, true}};
   return transfer;
 }
 
+// Guards against positions of different eras that are compared by their revisions. Builds that
+// know no eras read the flags below and send an era of 0.
+BOOST_AUTO_TEST_CASE(ADigestCarriesTheEraOfTheStore) {
+  dispatch::PeerDigest sent = SampleDigest();
+  sent.published = {7, 30};
+  const auto digest = DecodeDigest(EncodeDigest(sent)).value_or(dispatch::PeerDigest{});
+  BOOST_TEST((digest.published == dispatch::StorePosition{7, 30}));
+  BOOST_TEST(digest.leaving == sent.leaving);
+  BOOST_TEST(digest.reads_store == sent.reads_store);
+}
+
 // A configuration with many routes must fit a slow link.
 BOOST_AUTO_TEST_CASE(LargeTransfersAreCompressed) {
   for (const std::size_t size : {10U, 500'000U}) {
