Keep changes that a restore of the store lost in effect

Callers were served by an older configuration than before, for the time between the restore of the store and the moment when the operators had written the lost one again. Keys that had been withdrawn were valid again, evacuated failure domains and upstreams that had left got requests.

Cause: the state of a restored store was taken over as it stands, although the store had acknowledged the changes that it lacks. Class: an acknowledgement that is taken back.

A copy now keeps the lost changes in effect until their keys are written again, one minute at most, and hands them to peers that started or were cut off meanwhile. Whether an item of the restored store is old or was written since shows by its revision and value, of which a copy remembers the last 4,096 that were replaced, and for configurations by their version. A lower version that is written after the restore takes effect. An upstream that the backup lacks has 2.3 s to register again; one that had left is not used again until its entry has outlived three heartbeats.

--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -298,6 +298,21 @@
   return best[std::uniform_int_distribution<std::size_t>(0, best.size() - 1)(random)];
 }
 
+const Peer* ChooseRetainingPeer(const PeerTable& peers,
+                                StorePosition position,
+                                std::uint8_t fingerprint,
+                                const std::bitset<256>& merged,
+                                TimePoint now) {
+  for (const auto& [address, peer] : peers.peers) {
+    const std::uint8_t other = peer.digest.retained_fingerprint;
+    if (other != 0 && other != fingerprint && !merged.test(other) &&
+        peer.digest.published == position && !peer.digest.leaving && IsLive(peers, peer, now)) {
+      return &peer;
+    }
+  }
+  return nullptr;
+}
+
 bool ShouldReadStore(const PeerTable& peers, TimePoint now) {
   const std::uint64_t own = StableHash(peers.self_address);
   const auto earlier_readers = std::ranges::count_if(peers.peers, [&](const auto& entry) {
--- a/src/dispatch/internal/published_state.cc
+++ b/src/dispatch/internal/published_state.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "dispatch/store_restore.h"
+
 namespace geraniumspread::dispatch {
 namespace {
 
@@ -23,6 +25,15 @@
   if (known != state.items.end() && known->second.revision >= item.revision) {
     return false;
   }
+  const auto retained = state.retained.find(item.key);
+  if (retained != state.retained.end() && retained->second.restored &&
+      retained->second.restored->revision >= item.revision) {
+    return false;
+  }
+  if (known != state.items.end()) {
+    RecordSuperseded(state, known->second, {state.position.era, item.revision});
+  }
+  state.retained.erase(item.key);
   if (item.removed) {
     if (known == state.items.end()) {
       return false;
@@ -34,28 +45,10 @@
   return true;
 }
 
-// Replaces the items by those of a later era, whose revisions don't compare with the known ones.
-std::vector<PublishedItem> EnterEra(PublishedState& state,
-                                    std::vector<PublishedItem> items,
-                                    StorePosition position) {
-  std::map<std::string, PublishedItem> previous = std::exchange(state.items, {});
-  std::vector<PublishedItem> changes;
-  for (PublishedItem& item : items) {
-    const auto known = previous.extract(item.key);
-    if (known.empty() || known.mapped().value != item.value) {
-      changes.push_back(item);
-    }
-    std::string key = item.key;
-    state.items.insert_or_assign(std::move(key), std::move(item));
-  }
-  for (const auto& [key, item] : previous) {
-    changes.push_back({key, {}, position.revision, true});
-  }
-  state.recent.clear();
-  state.recent_after = position.revision;
-  state.position = position;
-  state.was_restored = true;
-  return changes;
+// True for an item that stays in effect although the restored store lacks it.
+bool IsRetained(const PublishedState& state, const std::string& key) {
+  const auto retained = state.retained.find(key);
+  return retained != state.retained.end() && !retained->second.restored && !retained->second.ended;
 }
 
 }  // namespace
@@ -90,9 +83,10 @@
 
 std::vector<PublishedItem> ReplaceState(PublishedState& state,
                                         std::vector<PublishedItem> items,
-                                        StorePosition position) {
+                                        StorePosition position,
+                                        TimePoint now) {
   if (IsAfterRestore(state, position)) {
-    return EnterEra(state, std::move(items), position);
+    return EnterEra(state, std::move(items), position, now);
   }
   state.position.era = std::max(state.position.era, position.era);
   std::vector<PublishedItem> changes;
@@ -108,7 +102,7 @@
     }
   }
   for (const auto& [key, item] : state.items) {
-    if (!present.contains(key)) {
+    if (!present.contains(key) && !IsRetained(state, key)) {
       changes.push_back({key, {}, position.revision, true});
     }
   }
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_PEER_TABLE_H_
 #define DISPATCH_PEER_TABLE_H_
 
+#include <bitset>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -42,6 +43,8 @@
   bool leaving = false;
   // Position of the sender's copy of the published state.
   StorePosition published;
+  // RetainedFingerprint of that copy.
+  std::uint8_t retained_fingerprint = 0;
   // Time since the sender's copy was last confirmed to be at the store's newest
   // revision.
   std::optional<Duration> confirmation_age;
@@ -147,6 +150,13 @@
                             StorePosition position,
                             std::mt19937_64& random,
                             TimePoint now);
+// Returns a live peer at `position` that retains other lost changes than `fingerprint`
+// identifies and whose fingerprint is not in `merged`, or null.
+const Peer* ChooseRetainingPeer(const PeerTable& peers,
+                                StorePosition position,
+                                std::uint8_t fingerprint,
+                                const std::bitset<256>& merged,
+                                TimePoint now);
 // True if this instance must watch the store itself: it ranks among the first
 // `store_readers` instances of its failure domain, or too few of those that rank
 // before it read the store.
--- a/src/dispatch/tests/published_state_test.cc
+++ b/src/dispatch/tests/published_state_test.cc
@@ -5,13 +5,15 @@
 namespace geraniumspread::dispatch {
 namespace {
 
+const TimePoint kNow;
+
 // Guards against a configuration that goes back to an older version that a slower
 // source delivers.
 BOOST_AUTO_TEST_CASE(OlderChangesAndStatesAreIgnored) {
   PublishedState state;
-  ReplaceState(state, {{"config", "3", 30}}, {0, 30});
+  ReplaceState(state, {{"config", "3", 30}}, {0, 30}, kNow);
   BOOST_TEST(ApplyChanges(state, {{"config", "2", 20}}, {0, 20}).empty());
-  BOOST_TEST(ReplaceState(state, {{"config", "2", 20}}, {0, 20}).empty());
+  BOOST_TEST(ReplaceState(state, {{"config", "2", 20}}, {0, 20}, kNow).empty());
   BOOST_TEST(state.items.at("config").value == "3");
   BOOST_TEST(state.position.revision == 30U);
 }
@@ -20,15 +22,15 @@
 // twice.
 BOOST_AUTO_TEST_CASE(AChangeThatThePagesContainedIsAppliedOnce) {
   PublishedState state;
-  ReplaceState(state, {{"a", "new", 12}}, {0, 10});
+  ReplaceState(state, {{"a", "new", 12}}, {0, 10}, kNow);
   BOOST_TEST(ApplyChanges(state, {{"a", "new", 12}, {"b", "1", 13}}, {0, 13}).size() == 1U);
 }
 
 // Guards against an upstream that stays listed because its removal was missed.
 BOOST_AUTO_TEST_CASE(KeysMissingFromANewStateAreRemoved) {
   PublishedState state;
-  ReplaceState(state, {{"a", "1", 1}, {"b", "1", 2}}, {0, 5});
-  const std::vector<PublishedItem> changes = ReplaceState(state, {{"b", "1", 2}}, {0, 9});
+  ReplaceState(state, {{"a", "1", 1}, {"b", "1", 2}}, {0, 5}, kNow);
+  const std::vector<PublishedItem> changes = ReplaceState(state, {{"b", "1", 2}}, {0, 9}, kNow);
   BOOST_TEST(changes.size() == 1U);
   BOOST_TEST(changes.front().key == "a");
   BOOST_TEST(changes.front().removed);
@@ -37,7 +39,7 @@
 
 BOOST_AUTO_TEST_CASE(RecentChangesAreReturnedForAPeerThatMissesThem) {
   PublishedState state;
-  ReplaceState(state, {{"a", "1", 1}}, {0, 5});
+  ReplaceState(state, {{"a", "1", 1}}, {0, 5}, kNow);
   ApplyChanges(state, {{"a", "2", 6}}, {0, 6});
   ApplyChanges(state, {{"a", {}, 7, true}}, {0, 7});
   const std::vector<PublishedItem> changes =
@@ -51,7 +53,7 @@
 // the last one.
 BOOST_AUTO_TEST_CASE(AKeyThatChangedOftenIsReturnedOnce) {
   PublishedState state;
-  ReplaceState(state, {{"config", "v0", 1}, {"b", "1", 1}}, {0, 5});
+  ReplaceState(state, {{"config", "v0", 1}, {"b", "1", 1}}, {0, 5}, kNow);
   for (std::uint64_t revision = 6; revision < 53; ++revision) {
     ApplyChanges(state, {{"config", "v" + std::to_string(revision), revision}}, {0, revision});
   }
@@ -64,7 +66,7 @@
   BOOST_TEST(changes.back().value == "2");
   // A copy that applies the changes is identical.
   PublishedState copy;
-  ReplaceState(copy, {{"config", "v0", 1}, {"b", "1", 1}}, {0, 5});
+  ReplaceState(copy, {{"config", "v0", 1}, {"b", "1", 1}}, {0, 5}, kNow);
   ApplyChanges(copy, changes, state.position);
   BOOST_TEST(copy.items.at("config").value == "v52");
   BOOST_TEST(copy.items.at("b").value == "2");
@@ -73,7 +75,7 @@
 // Guards against unbounded memory use during a rapid series of changes.
 BOOST_AUTO_TEST_CASE(OnlyTheNewestChangesAreKept) {
   PublishedState state;
-  ReplaceState(state, {}, {0, 1});
+  ReplaceState(state, {}, {0, 1}, kNow);
   for (std::uint64_t revision = 2; revision < 500; ++revision) {
     ApplyChanges(state, {{"a", "x", revision}}, {0, revision});
   }
--- a/src/dispatch/tests/state_relay_test.cc
+++ b/src/dispatch/tests/state_relay_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "dispatch/published_state.h"
+#include "dispatch/store_restore.h"
 
 // Simulates copies of the published state without a network. Some are read from a
 // store, in pages and by its change history, and the others from other copies. A seed
@@ -20,6 +21,8 @@
 constexpr std::size_t kCopies = 6;
 constexpr int kSteps = 400;
 
+const TimePoint kNow;
+
 using Values = std::map<std::string, std::string>;
 
 struct Store {
@@ -72,6 +75,7 @@
   std::vector<PublishedItem> items;
   StorePosition position;
   bool is_complete = false;
+  std::vector<RetainedCopy> retained;
 };
 
 struct Copy {
@@ -97,9 +101,13 @@
 }
 
 void Take(Copy& copy, Transfer transfer) {
+  SeparateRetained(transfer.items, transfer.retained);
   Apply(copy, transfer.is_complete
-                  ? ReplaceState(copy.state, std::move(transfer.items), transfer.position)
+                  ? ReplaceState(copy.state, std::move(transfer.items), transfer.position, kNow)
                   : ApplyChanges(copy.state, std::move(transfer.items), transfer.position));
+  if (copy.state.position == transfer.position) {
+    Apply(copy, MergeRetained(copy.state, std::move(transfer.retained), kNow));
+  }
 }
 
 void ReadPage(Copy& reader, const Store& store) {
@@ -144,6 +152,7 @@
   for (const auto& [key, item] : state.items) {
     transfer.items.push_back(item);
   }
+  transfer.retained = CopyRetained(state, kNow);
   return transfer;
 }
 
@@ -263,7 +272,8 @@
       }
       Settle(store, copies);
       for (std::size_t index = 0; index < kCopies; ++index) {
-        const Copy& copy = copies[index];
+        Copy& copy = copies[index];
+        Apply(copy, EndRetentions(copy.state, kNow + std::chrono::hours(1)));
         BOOST_TEST_CONTEXT("copy " << index) {
           BOOST_TEST((copy.state.position == StorePosition{store.era, store.revision}));
           BOOST_TEST((ValuesOf(copy.state.items) == ValuesOf(store.items)));
@@ -278,10 +288,10 @@
 // pages: the reader never had the entry, but its peers still have it.
 BOOST_AUTO_TEST_CASE(ARemovalBetweenTwoPagesReachesPeers) {
   PublishedState peer;
-  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, {0, 10});
+  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, {0, 10}, {});
   PublishedState reader;
   // The first page shows revision 10; "b" was removed at 11, before the second page.
-  ReplaceState(reader, {{"a", "ready", 1}}, {0, 10});
+  ReplaceState(reader, {{"a", "ready", 1}}, {0, 10}, {});
   ApplyChanges(reader, {{"b", {}, 11, true}}, {0, 11});
   ApplyChanges(peer,
                ChangesSince(reader, peer.position.revision).value_or(std::vector<PublishedItem>{}),
@@ -292,9 +302,9 @@
 // Guards against the same fault for an upstream that announced that it is leaving.
 BOOST_AUTO_TEST_CASE(AChangeBetweenTwoPagesReachesPeers) {
   PublishedState peer;
-  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, {0, 10});
+  ReplaceState(peer, {{"a", "ready", 1}, {"b", "ready", 2}}, {0, 10}, {});
   PublishedState reader;
-  ReplaceState(reader, {{"a", "ready", 1}, {"b", "draining", 11}}, {0, 10});
+  ReplaceState(reader, {{"a", "ready", 1}, {"b", "draining", 11}}, {0, 10}, {});
   ApplyChanges(reader, {{"b", "draining", 11}}, {0, 11});
   ApplyChanges(peer,
                ChangesSince(reader, peer.position.revision).value_or(std::vector<PublishedItem>{}),
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -45,6 +45,8 @@
   dispatch::FreshnessSettings freshness;
   // Entries of healthy upstreams expire only in a store outage longer than this.
   Duration min_store_outage = std::chrono::seconds(3);
+  // Time after a restore of the store within which live upstreams renew their entries.
+  Duration renewal_time = std::chrono::milliseconds(5900);
   // Grace period between SIGTERM and the end of the process.
   Duration stop_grace = std::chrono::seconds(8);
   // Logs one in this many requests that succeed at the first attempt.
@@ -152,6 +154,9 @@
   transport::HttpResponse (*encode_refusal)(const Refusal& refusal,
                                             std::string_view request_id) = nullptr;
   PublishedChange (*decode_item)(const dispatch::PublishedItem& item) = nullptr;
+  // See dispatch::RestoreRules.
+  std::optional<std::uint64_t> (*stated_version)(const dispatch::PublishedItem& item) = nullptr;
+  bool (*is_renewed)(std::string_view key) = nullptr;
   // Path of the platform's readiness probe.
   std::string_view readiness_path;
 };
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -103,6 +103,7 @@
   dispatch::RecordUnconfirmedTime(edge->store_outage,
                                   dispatch::UnconfirmedTime(edge->freshness, RuntimeClock::now()),
                                   RuntimeClock::now());
+  EndRetentions(*edge);
   ExpireHeldRemovals(*edge);
   SendDigests(*edge);
   TickCrashEvidence(*edge);
@@ -188,6 +189,10 @@
   this->state->started_at = RuntimeClock::now();
   this->state->freshness.running_since = this->state->started_at;
   this->state->store_outage.min_duration = this->state->settings.min_store_outage;
+  dispatch::RestoreRules& restore_rules = this->state->published.restore_rules;
+  restore_rules.stated_version = this->state->codec.stated_version;
+  restore_rules.is_renewed = this->state->codec.is_renewed;
+  restore_rules.renewal_time = this->state->settings.renewal_time;
   this->state->last_tick = this->state->started_at;
   this->state->last_boot_time = detail::BootTime();
 }
@@ -242,6 +247,7 @@
   this->state->retries.settings = settings.retries;
   this->state->freshness.settings = settings.freshness;
   this->state->store_outage.min_duration = settings.min_store_outage;
+  this->state->published.restore_rules.renewal_time = settings.renewal_time;
 }
 
 void Edge::Stop(std::function<void()> stopped) {
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -2,6 +2,7 @@
 #define EDGE_INTERNAL_EDGE_STATE_H_
 
 #include <array>
+#include <bitset>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <charconv>
@@ -77,6 +78,8 @@
   // Since when some peer has newer published state than this instance.
   std::optional<TimePoint> behind_since;
   bool pulling = false;
+  // Fingerprints of the retained items that were copied from peers in this era.
+  std::bitset<256> merged_retained;
 
   std::uint64_t incarnation = 0;
   std::uint64_t digest_sequence = 0;
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -28,7 +28,9 @@
 constexpr double kThousand = 1000;
 constexpr unsigned kLeaving = 1;
 constexpr unsigned kReadsStore = 2;
-// The flags also carry the era of the store, in bits that earlier builds ignore.
+// The flags also carry, in bits that earlier builds ignore, what identifies the retained items
+// and the era of the store.
+constexpr unsigned kFingerprintShift = 8;
 constexpr unsigned kEraShift = 16;
 constexpr std::uint64_t kMaxEra = 0xffff;
 // Fits one packet on a link with the usual MTU.
@@ -55,10 +57,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(*age).count();
 }
 
+constexpr std::chrono::milliseconds kMaxConfirmationAge = std::chrono::hours(1);
+
 // Returns nullopt for an age above the limit, since such a confirmation is of no use.
 std::optional<Duration> ValidateAge(std::uint64_t milliseconds) {
-  constexpr std::uint64_t kMaxMilliseconds = 3'600'000;
-  if (milliseconds > kMaxMilliseconds) {
+  if (milliseconds > static_cast<std::uint64_t>(kMaxConfirmationAge.count())) {
     return std::nullopt;
   }
   return std::chrono::milliseconds(milliseconds);
@@ -204,6 +207,30 @@
           row.at(2).to_number<std::uint64_t>(), row.at(3).as_bool()};
 }
 
+// A row of a retained item: key, era and revision of the lost change, age in milliseconds,
+// whether the retention has ended, and the store's item or null.
+json::array EncodeRetained(const dispatch::RetainedCopy& copy) {
+  return {copy.key,
+          copy.origin.era,
+          copy.origin.revision,
+          EncodeAge(copy.age),
+          copy.ended,
+          copy.restored ? json::value(EncodeItem(*copy.restored)) : json::value(nullptr)};
+}
+
+dispatch::RetainedCopy DecodeRetained(const json::value& value) {
+  const json::array& row = value.as_array();
+  dispatch::RetainedCopy copy;
+  copy.key = row.at(0).as_string();
+  copy.origin = {row.at(1).to_number<std::uint64_t>(), row.at(2).to_number<std::uint64_t>()};
+  copy.age = DecodeAge(row.at(3)).value_or(kMaxConfirmationAge);
+  copy.ended = row.at(4).as_bool();
+  if (!row.at(5).is_null()) {
+    copy.restored = DecodeItem(row.at(5));
+  }
+  return copy;
+}
+
 StateTransfer DecodeText(std::string_view text) {
   const json::object object = Parse(text);
   StateTransfer transfer;
@@ -216,6 +243,12 @@
   for (const json::value& value : object.at("items").as_array()) {
     transfer.items.push_back(DecodeItem(value));
   }
+  if (const json::value* retained = object.if_contains("retained"); retained != nullptr) {
+    for (const json::value& value : retained->as_array()) {
+      transfer.retained.push_back(DecodeRetained(value));
+    }
+    dispatch::SeparateRetained(transfer.items, transfer.retained);
+  }
   return transfer;
 }
 
@@ -223,7 +256,7 @@
 
 // A digest is a CBOR array, for small size, since it is sent to several peers every 200 ms.
 // Its elements are: version, instance, incarnation, sequence, address, failure domain,
-// flags with the era, revision, age of the confirmation, a flat array of loads (three
+// flags with fingerprint and era, revision, age of the confirmation, a flat array of loads (three
 // numbers each), known addresses, a flat array of reports (three numbers each).
 std::string EncodeDigest(const dispatch::PeerDigest& digest) {
   Cbor loads = Cbor::array();
@@ -238,6 +271,7 @@
   }
   const unsigned flags =
       (digest.leaving ? kLeaving : 0) | (digest.reads_store ? kReadsStore : 0) |
+      (unsigned{digest.retained_fingerprint} << kFingerprintShift) |
       (static_cast<unsigned>(std::min(digest.published.era, kMaxEra)) << kEraShift);
   const Cbor age =
       digest.confirmation_age
@@ -281,6 +315,7 @@
     const auto flags = Number<unsigned>(message.at(6));
     digest.leaving = (flags & kLeaving) != 0;
     digest.reads_store = (flags & kReadsStore) != 0;
+    digest.retained_fingerprint = static_cast<std::uint8_t>(flags >> kFingerprintShift);
     digest.published = {flags >> kEraShift, Number<std::uint64_t>(message.at(7))};
     if (const Cbor& age = message.at(8); !age.is_null()) {
       digest.confirmation_age = ValidateAge(Number<std::uint64_t>(age));
@@ -342,9 +377,14 @@
   for (const dispatch::PublishedItem& item : transfer.items) {
     items.push_back(EncodeItem(item));
   }
+  json::array retained;
+  for (const dispatch::RetainedCopy& copy : transfer.retained) {
+    retained.push_back(EncodeRetained(copy));
+  }
   std::string text =
       json::serialize(json::object{{"revision", transfer.position.revision},
                                    {"era", transfer.position.era},
+                                   {"retained", std::move(retained)},
                                    {"complete", transfer.is_complete},
                                    {"confirmation_age_ms", EncodeAge(transfer.confirmation_age)},
                                    {"items", std::move(items)}});
--- a/src/edge/internal/peer_codec.h
+++ b/src/edge/internal/peer_codec.h
@@ -11,6 +11,7 @@
 #include "dispatch/named_limits.h"
 #include "dispatch/peer_table.h"
 #include "dispatch/published_state.h"
+#include "dispatch/store_restore.h"
 
 namespace geraniumspread::edge::detail {
 
@@ -35,6 +36,8 @@
   // Time since the sender last confirmed that `position` was the store's newest.
   std::optional<Duration> confirmation_age;
   std::vector<dispatch::PublishedItem> items;
+  // Sent with a full snapshot, whose items are then those that the store contains.
+  std::vector<dispatch::RetainedCopy> retained;
 };
 std::string EncodeTransfer(const StateTransfer& transfer);
 std::optional<StateTransfer> DecodeTransfer(std::string_view bytes);
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <limits>
 
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/limit_exchange.h"
@@ -28,6 +29,10 @@
 constexpr std::size_t kMaxDatagramBytes = std::size_t{2} * 1024;
 constexpr std::string_view kStateTarget = "/published?after=";
 constexpr std::string_view kEraParameter = "&era=";
+// No peer is in this era, so it sends all items.
+constexpr dispatch::StorePosition kCompleteState = {
+    .era = std::numeric_limits<std::uint64_t>::max(),
+    .revision = 0};
 // Allows for some megabytes of state over a 10 Mbit/s link. After a timeout, another peer
 // is tried.
 constexpr Duration kPullTimeout = std::chrono::seconds(3);
@@ -60,6 +65,7 @@
   digest.failure_domain = edge.settings.failure_domain;
   digest.leaving = edge.stopping;
   digest.published = edge.published.position;
+  digest.retained_fingerprint = dispatch::RetainedFingerprint(edge.published);
   digest.confirmation_age = dispatch::ConfirmationAge(edge.freshness, RuntimeClock::now());
   digest.reads_store = edge.feed_reachable && edge.reads_store;
   digest.loads = dispatch::OwnLoads(edge.upstreams);
@@ -114,10 +120,14 @@
             {"era", transfer->position.era},
             {"revision", transfer->position.revision},
             {"items", transfer->items.size()},
+            {"retained", transfer->retained.size()},
             {"complete", transfer->is_complete},
             {"store_reachable", edge->feed_reachable}});
   if (transfer->is_complete) {
     ReplacePublished(*edge, std::move(transfer->items), transfer->position);
+    if (edge->published.position == transfer->position) {
+      MergeRetained(*edge, std::move(transfer->retained));
+    }
   } else {
     ApplyPublished(*edge, dispatch::ApplyChanges(edge->published, std::move(transfer->items),
                                                  transfer->position));
@@ -139,6 +149,23 @@
   }
 }
 
+// Copies lost changes from a peer that retains others than this instance, for example after
+// this instance was restarted or was cut off while the store was restored.
+void PullRetained(const Edge& edge) {
+  const dispatch::PublishedState& state = edge->published;
+  const dispatch::Peer* peer = dispatch::ChooseRetainingPeer(
+      edge->peers, state.position, dispatch::RetainedFingerprint(state), edge->merged_retained,
+      RuntimeClock::now());
+  if (peer == nullptr || edge->pulling) {
+    return;
+  }
+  edge->pulling = true;
+  edge->merged_retained.set(peer->digest.retained_fingerprint);
+  asio::co_spawn(edge->io,
+                 PullState(edge, peer->digest.address, peer->digest.instance, kCompleteState),
+                 asio::detached);
+}
+
 // Decodes "REVISION&era=ERA". Earlier builds send the revision alone.
 dispatch::StorePosition DecodePosition(std::string_view text) {
   dispatch::StorePosition position;
@@ -230,6 +257,7 @@
       dispatch::ChooseNewerPeer(edge->peers, edge->published.position, edge->random, now);
   if (ahead == nullptr) {
     edge->behind_since.reset();
+    PullRetained(edge);
     return;
   }
   const TimePoint behind_since = edge->behind_since.value_or(now);
@@ -270,6 +298,7 @@
     for (const auto& [key, item] : state.items) {
       transfer.items.push_back(item);
     }
+    transfer.retained = dispatch::CopyRetained(state, RuntimeClock::now());
   }
   transport::HttpResponse response(200, {}, EncodeTransfer(transfer));
   co_await responder.Send(std::move(response));
--- a/src/edge/internal/published_feed.cc
+++ b/src/edge/internal/published_feed.cc
@@ -15,6 +15,9 @@
 // A group of changes applied together.
 struct Batch {
   bool is_large = false;
+  // The changes lead to the contents of a restored store. An upstream may be missing there
+  // because it registered after the backup.
+  bool is_restore = false;
   std::size_t upstreams_added = 0;
 };
 
@@ -102,17 +105,28 @@
             {"revision", item.revision}});
 }
 
+// Returns the time until which to keep an upstream that is no longer listed, or nullopt to
+// remove it at once.
+std::optional<TimePoint> HoldUntil(const EdgeState& edge,
+                                   const Batch& batch,
+                                   const dispatch::Upstream& upstream) {
+  if (upstream.announced.leaving) {
+    return std::nullopt;
+  }
+  const TimePoint now = RuntimeClock::now();
+  return batch.is_restore ? now + edge.store_outage.relisting_time
+                          : dispatch::HoldRemovalUntil(edge.store_outage, now);
+}
+
 void Apply(EdgeState& edge,
-           Batch& /*batch*/,
+           Batch& batch,
            const dispatch::PublishedItem& item,
            const UpstreamRemoved& removed) {
   const auto row = edge.upstreams.rows.find(removed.id);
   if (row == edge.upstreams.rows.end()) {
     return;
   }
-  const auto held_until = row->second->announced.leaving
-                              ? std::nullopt
-                              : dispatch::HoldRemovalUntil(edge.store_outage, RuntimeClock::now());
+  const auto held_until = HoldUntil(edge, batch, *row->second);
   if (held_until) {
     dispatch::HoldRemoval(edge.upstreams, removed.id, *held_until);
   } else {
@@ -137,10 +151,7 @@
             {"revision", item.revision}});
 }
 
-}  // namespace
-
-void ApplyPublished(EdgeState& edge, const std::vector<dispatch::PublishedItem>& changes) {
-  Batch batch{changes.size() > kMaxLoggedSingly};
+void ApplyBatch(EdgeState& edge, Batch batch, const std::vector<dispatch::PublishedItem>& changes) {
   for (const dispatch::PublishedItem& item : changes) {
     std::visit(
         [&](auto&& change) { Apply(edge, batch, item, std::forward<decltype(change)>(change)); },
@@ -155,20 +166,44 @@
   }
 }
 
+void LogRetained(const EdgeState& edge) {
+  std::size_t logged = 0;
+  for (const auto& [key, retained] : edge.published.retained) {
+    if (++logged > kMaxLoggedSingly) {
+      break;
+    }
+    LogEvent(LogLevel::kInfo, "lost_change_retained",
+             {{"key", key},
+              {"change_revision", retained.origin.revision},
+              {"change_era", retained.origin.era},
+              {"restored_revision", retained.restored ? retained.restored->revision : 0}});
+  }
+}
+
+}  // namespace
+
+void ApplyPublished(EdgeState& edge, const std::vector<dispatch::PublishedItem>& changes) {
+  ApplyBatch(edge, {.is_large = changes.size() > kMaxLoggedSingly}, changes);
+}
+
 void ReplacePublished(EdgeState& edge,
                       std::vector<dispatch::PublishedItem> items,
                       dispatch::StorePosition position) {
   const dispatch::StorePosition previous = edge.published.position;
   const bool is_restore = dispatch::IsAfterRestore(edge.published, position);
-  const auto changes = dispatch::ReplaceState(edge.published, std::move(items), position);
+  const auto changes =
+      dispatch::ReplaceState(edge.published, std::move(items), position, RuntimeClock::now());
   if (is_restore) {
+    edge.merged_retained.reset();
     edge.metrics.Count("geranium_store_restores_total");
     LogEvent(LogLevel::kWarn, "store_restored",
              {{"era", position.era},
               {"revision", position.revision},
               {"previous_era", previous.era},
               {"previous_revision", previous.revision},
-              {"changes", changes.size()}});
+              {"changes", changes.size()},
+              {"retained", edge.published.retained.size()}});
+    LogRetained(edge);
   } else if (edge.published.position != position) {
     LogEvent(LogLevel::kInfo, "published_state_ignored",
              {{"era", position.era},
@@ -176,6 +211,25 @@
               {"current_era", previous.era},
               {"current_revision", previous.revision}});
   }
+  ApplyBatch(edge, {.is_large = changes.size() > kMaxLoggedSingly, .is_restore = is_restore},
+             changes);
+}
+
+void MergeRetained(EdgeState& edge, std::vector<dispatch::RetainedCopy> copies) {
+  const auto changes =
+      dispatch::MergeRetained(edge.published, std::move(copies), RuntimeClock::now());
+  if (!changes.empty()) {
+    LogRetained(edge);
+  }
+  ApplyPublished(edge, changes);
+}
+
+void EndRetentions(EdgeState& edge) {
+  const auto changes = dispatch::EndRetentions(edge.published, RuntimeClock::now());
+  for (const dispatch::PublishedItem& change : changes) {
+    LogEvent(LogLevel::kWarn, "lost_change_dropped",
+             {{"key", change.key}, {"revision", change.revision}});
+  }
   ApplyPublished(edge, changes);
 }
 
--- a/src/edge/internal/published_feed.h
+++ b/src/edge/internal/published_feed.h
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "dispatch/store_restore.h"
 #include "edge/internal/edge_state.h"
 
 namespace geraniumspread::edge::detail {
@@ -14,6 +15,10 @@
 void ReplacePublished(EdgeState& edge,
                       std::vector<dispatch::PublishedItem> items,
                       dispatch::StorePosition position);
+// Applies lost changes that a peer retains and this instance lacks.
+void MergeRetained(EdgeState& edge, std::vector<dispatch::RetainedCopy> copies);
+// Ends retentions whose time is over.
+void EndRetentions(EdgeState& edge);
 // Removes upstreams whose delayed removal is due.
 void ExpireHeldRemovals(EdgeState& edge);
 
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -71,6 +71,19 @@
   return rows;
 }
 
+json::array RetainedRows(const dispatch::PublishedState& published, TimePoint now) {
+  json::array rows;
+  for (const auto& [key, retained] : published.retained) {
+    if (!retained.ended) {
+      rows.emplace_back(json::object{{"key", key},
+                                     {"revision", retained.origin.revision},
+                                     {"era", retained.origin.era},
+                                     {"age_ms", Milliseconds(now - retained.since)}});
+    }
+  }
+  return rows;
+}
+
 }  // namespace
 
 std::string StatusPage(const EdgeState& edge) {
@@ -98,6 +111,7 @@
                    {"config", edge.config ? edge.config->version : 0},
                    {"store_era", edge.published.position.era},
                    {"published_revision", edge.published.position.revision},
+                   {"retained", RetainedRows(edge.published, now)},
                    {"confirmation_age_ms", confirmation_age ? Milliseconds(*confirmation_age) : -1},
                    {"store_reachable", edge.feed_reachable},
                    {"reads_store", edge.reads_store},
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -136,6 +136,10 @@
   return item.key == "config" && error == std::errc{} ? std::optional(version) : std::nullopt;
 }
 
+bool IsRenewed(std::string_view key) {
+  return key.starts_with('u');
+}
+
 PublishedChange DecodeItem(const dispatch::PublishedItem& item) {
   if (item.key == "config") {
     dispatch::RoutingConfig config;
@@ -169,7 +173,8 @@
 }
 
 PlatformCodec TestCodec() {
-  return {DecodeRequest, EncodeRequest, DecodeAnswer, EncodeRefusal, DecodeItem, "/ready"};
+  return {DecodeRequest, EncodeRequest, DecodeAnswer, EncodeRefusal,
+          DecodeItem,    StatedVersion, IsRenewed,    "/ready"};
 }
 
 std::unique_ptr<Edge> StartInstance(asio::io_context& io, const EdgeSettings& settings) {
--- a/src/edge/tests/edge_restore_test.cc
+++ b/src/edge/tests/edge_restore_test.cc
@@ -12,6 +12,8 @@
 using dispatch::PublishedItem;
 using dispatch::StorePosition;
 using test::EdgeFixture;
+using test::RawUpstream;
+using test::Sealed;
 
 struct Fixture : EdgeFixture {
   // Version of the configuration in force at the first instance.
@@ -29,11 +31,12 @@
 };
 
 // Guards against a configuration that is skipped because its revision was assigned before
-// the restore.
+// the restore, and against one that the restore brings back.
 BOOST_FIXTURE_TEST_CASE(ChangesAfterARestoreTakeEffect, Fixture) {
   this->Read(*this->edge, "3", {1, 10});
   this->Write(*this->edge, "5", {1, 12});
   this->Read(*this->edge, "3", {2, 10});
+  BOOST_TEST(this->Version() == 5);
   this->Write(*this->edge, "7", {2, 11});
   BOOST_TEST(this->Version() == 7);
 }
@@ -57,5 +60,30 @@
   BOOST_TEST(this->Version() == 4);
 }
 
+// Guards against an instance that started after the restore and serves by the
+// configuration of the backup.
+BOOST_FIXTURE_TEST_CASE(APeerDeliversWhatTheRestoreLost, Fixture) {
+  this->AddInstance("127.0.0.2");
+  this->Read(*this->other_instances[0], "3", {1, 10});
+  this->Write(*this->other_instances[0], "5", {1, 12});
+  this->Read(*this->other_instances[0], "3", {2, 10});
+  this->Read(*this->edge, "3", {2, 10});
+  BOOST_TEST(this->Version() == 3);
+  this->RunFor(1s);
+  BOOST_TEST(this->Version() == 5);
+}
+
+// Guards against dropping an upstream that registered after the backup and serves, and
+// against keeping it if it doesn't register again.
+BOOST_FIXTURE_TEST_CASE(AnUpstreamThatTheBackupLacksHasTimeToRegister, Fixture) {
+  this->era = 1;
+  this->Read(*this->edge, "3", {1, 1});
+  this->AddUpstream({Sealed("whole")});
+  this->Read(*this->edge, "3", {2, 1});
+  BOOST_TEST(this->Call("/order/1").value().status == 200);
+  this->RunFor(2600ms);
+  BOOST_TEST(this->Call("/order/2").value().status == 503);
+}
+
 }  // namespace
 }  // namespace geraniumspread::edge
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -191,12 +191,39 @@
 BOOST_AUTO_TEST_CASE(ADigestCarriesTheEraOfTheStore) {
   dispatch::PeerDigest sent = SampleDigest();
   sent.published = {7, 30};
+  sent.retained_fingerprint = 200;
   const auto digest = DecodeDigest(EncodeDigest(sent)).value_or(dispatch::PeerDigest{});
   BOOST_TEST((digest.published == dispatch::StorePosition{7, 30}));
+  BOOST_TEST(digest.retained_fingerprint == 200U);
   BOOST_TEST(digest.leaving == sent.leaving);
   BOOST_TEST(digest.reads_store == sent.reads_store);
 }
 
+// Builds that don't know retained items take the items in effect.
+BOOST_AUTO_TEST_CASE(RetainedItemsAreSeparatedFromThoseOfTheStore) {
+  StateTransfer sent = SampleTransfer(10);
+  sent.items = {{"config", "new", 5}, {"evacuated", "", 9}};
+  sent.retained = {{.key = "config",
+                    .origin = {2, 30},
+                    .restored = dispatch::PublishedItem{"config", "old", 5},
+                    .age = 4s},
+                   {.key = "evacuated", .origin = {2, 31}, .age = 4s},
+                   {.key = "left",
+                    .origin = {2, 32},
+                    .restored = dispatch::PublishedItem{"left", "ready", 6},
+                    .age = 4s}};
+  const StateTransfer transfer = DecodeTransfer(EncodeTransfer(sent)).value_or(StateTransfer{});
+  BOOST_TEST_REQUIRE(transfer.items.size() == 2U);
+  BOOST_TEST(std::ranges::count(transfer.items, "old", &dispatch::PublishedItem::value) == 1);
+  BOOST_TEST(std::ranges::count(transfer.items, "ready", &dispatch::PublishedItem::value) == 1);
+  BOOST_TEST_REQUIRE(transfer.retained.size() == 3U);
+  BOOST_TEST(transfer.retained[0].value.value_or("") == "new");
+  BOOST_TEST((transfer.retained[0].origin == dispatch::StorePosition{2, 30}));
+  BOOST_TEST((transfer.retained[0].age == 4s));
+  BOOST_TEST(transfer.retained[1].value.has_value());
+  BOOST_TEST(!transfer.retained[2].value.has_value());
+}
+
 // A configuration with many routes must fit a slow link.
 BOOST_AUTO_TEST_CASE(LargeTransfersAreCompressed) {
   for (const std::size_t size : {10U, 500'000U}) {
