Continue streams only at the version that began them

Cause: the version in an upstream's listing and the Resumes header were not decoded, so a resumable stream went on at any upstream of its service.

The version is stored at up to three peers before the first event is passed on, and found again by the id of the request that began the stream. A stream whose version nobody knows goes on only if one version alone has been listed for long enough at an instance that saw every listing; that one version is left proves nothing. Otherwise it is refused at once, as not run.

--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -197,6 +197,8 @@
       return "no_upstream_listed";
     case SelectionFailure::kNoneInService:
       return "no_upstream_in_service";
+    case SelectionFailure::kNoneOfVersion:
+      return "no_upstream_of_the_streams_version";
     case SelectionFailure::kAllTried:
       return "all_upstreams_tried";
     case SelectionFailure::kAllPaused:
@@ -271,6 +273,10 @@
     if (!TakesNewWork(table, *row)) {
       continue;
     }
+    if (request.version && row->version != *request.version) {
+      reached(SelectionFailure::kNoneOfVersion);
+      continue;
+    }
     Candidate candidate{row, 0, EstimatedRunning(table, *row, request.now),
                         UncachedTokens(row->prompt_cache, request.prompt)};
     if (Contains(request.tried, row->listing.id)) {
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -42,6 +42,16 @@
   }
 }
 
+void CountVersion(UpstreamTable& table, const Upstream& upstream) {
+  ++table.versions[upstream.listing.service][upstream.version].upstreams;
+}
+
+void UncountVersion(UpstreamTable& table, const Upstream& upstream, TimePoint now) {
+  VersionListing& listing = table.versions[upstream.listing.service][upstream.version];
+  --listing.upstreams;
+  listing.last_listed_at = now;
+}
+
 // Restores what the process announced before it was dropped.
 void RestoreAnnouncedState(UpstreamTable& table, Upstream& upstream) {
   const UpstreamListing& listing = upstream.listing;
@@ -81,7 +91,10 @@
     if (same_process) {
       const bool changed = row->listing.draining != listing.draining || row->removal_at ||
                            listing.cold_left.count() > 0;
+      UncountVersion(table, *row, now);
       row->listing = listing;
+      row->version = StableHash(listing.version);
+      CountVersion(table, *row);
       row->announced.leaving = row->announced.leaving || listing.draining;
       row->removal_at.reset();
       row->cold_until = now + listing.cold_left;
@@ -93,6 +106,8 @@
   row->listing = listing;
   RestoreAnnouncedState(table, *row);
   row->id_hash = StableHash(listing.id);
+  row->version = StableHash(listing.version);
+  CountVersion(table, *row);
   row->listed_at = now;
   row->cold_until = now + listing.cold_left;
   table.rows[listing.id] = row;
@@ -109,6 +124,7 @@
   const UpstreamRow row = known->second;
   row->listed = false;
   SaveAnnouncedState(table, *row, now);
+  UncountVersion(table, *row, now);
   table.rows.erase(known);
   table.by_key.erase(DigestKey(*row));
   RemoveFromService(table, row);
@@ -134,6 +150,11 @@
   std::erase_if(table.dropped, [now](const auto& entry) {
     return entry.second.dropped_at + kDroppedRetention < now;
   });
+  for (auto& [service, versions] : table.versions) {
+    std::erase_if(versions, [now](const auto& entry) {
+      return entry.second.upstreams == 0 && entry.second.last_listed_at + kDroppedRetention < now;
+    });
+  }
   return due;
 }
 
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -42,6 +42,8 @@
   double cold_requests_per_second = 0;
   // Ids of the upstreams to which this request was already sent.
   std::span<const std::string> tried;
+  // Only upstreams of this version, if set: the request continues a stream that began there.
+  std::optional<std::uint64_t> version;
   TimePoint now;
 };
 
@@ -61,6 +63,7 @@
   kNone,
   kNoneListed,
   kNoneInService,
+  kNoneOfVersion,
   kAllTried,
   kAllPaused,
   kAllLimited,
--- a/src/dispatch/tests/store_restore_test.cc
+++ b/src/dispatch/tests/store_restore_test.cc
@@ -48,6 +48,7 @@
       }
     }
     std::vector<PublishedItem> pages;
+    pages.reserve(items.size());
     for (const auto& [key, item] : items) {
       pages.push_back(item);
     }
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -24,6 +24,8 @@
   std::string service;
   std::string address;  // ip:port
   std::string failure_domain;
+  // Version of its software. Upstreams of several versions may serve side by side.
+  std::string version;
   std::uint32_t slots = 1;
   bool draining = false;
   // Remaining cold time when the entry was read.
@@ -81,6 +83,8 @@
   AnnouncedState announced;
   // StableHash of the id.
   std::uint64_t id_hash = 0;
+  // StableHash of the listed version.
+  std::uint64_t version = 0;
   TimePoint listed_at;
   // False after removal; in-flight requests keep the row alive.
   bool listed = true;
@@ -115,12 +119,21 @@
   TimePoint dropped_at;
 };
 
+// The upstreams of a service that have one version.
+struct VersionListing {
+  std::size_t upstreams = 0;
+  // When the last one was removed.
+  TimePoint last_listed_at;
+};
+
 struct UpstreamTable {
   std::unordered_map<std::string, UpstreamRow> rows;
   // Keyed by id and start time of the process.
   std::map<std::pair<std::string, std::int64_t>, DroppedProcess> dropped;
   // Keyed by service; ordered by id, so that all instances iterate in the same order.
   std::unordered_map<std::string, std::vector<UpstreamRow>> by_service;
+  // Keyed by service and then by version; also versions that are no longer listed.
+  std::unordered_map<std::string, std::map<std::uint64_t, VersionListing>> versions;
   std::set<std::string, std::less<>> domains_out_of_service;
   // Failure domains from whose instances no digest arrives, which suggests a
   // partition.
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -69,6 +69,8 @@
   std::optional<Duration> deadline;
   // Set when the caller resumes a stream: the last event that it received.
   std::optional<std::uint64_t> last_event_id;
+  // Then also the id of the request that brought the first event of the stream.
+  std::string resumes;
   // Headers forwarded to the upstream unchanged.
   transport::HttpHeaders forwarded_headers;
   std::string body;
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -6,6 +6,7 @@
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/event_splitter.h"
 #include "edge/internal/limit_exchange.h"
+#include "edge/internal/stream_resumption.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -175,6 +176,7 @@
       if (!first_event_at) {
         first_event_at = now;
         RecordAnswerBegin(run);
+        RecordStreamBegin(run, *run.active_upstream);
       }
       if (now - *first_event_at > kCrashTime) {
         RecordAnswered(run);
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -13,6 +13,7 @@
 #include "edge/internal/published_feed.h"
 #include "edge/internal/request_run.h"
 #include "edge/internal/status_page.h"
+#include "edge/internal/stream_resumption.h"
 
 namespace geraniumspread::edge {
 namespace detail {
@@ -105,6 +106,8 @@
                                   RuntimeClock::now());
   EndRetentions(*edge);
   ExpireHeldRemovals(*edge);
+  UpdateListingsFollowed(*edge);
+  dispatch::ExpireOrigins(edge->origins, RuntimeClock::now());
   SendDigests(*edge);
   TickCrashEvidence(*edge);
   SendLimitNews(*edge);
@@ -188,6 +191,7 @@
   this->state->freshness.settings = this->state->settings.freshness;
   this->state->started_at = RuntimeClock::now();
   this->state->freshness.running_since = this->state->started_at;
+  this->state->listings_followed_since = this->state->started_at;
   this->state->store_outage.min_duration = this->state->settings.min_store_outage;
   dispatch::RestoreRules& restore_rules = this->state->published.restore_rules;
   restore_rules.stated_version = this->state->codec.stated_version;
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -25,6 +25,7 @@
 #include "dispatch/selection.h"
 #include "dispatch/send_limits.h"
 #include "dispatch/store_outage.h"
+#include "dispatch/stream_origins.h"
 #include "dispatch/upstream_table.h"
 #include "edge/edge_types.h"
 #include "observability/log.h"
@@ -64,6 +65,9 @@
   dispatch::PeerTable peers;
   dispatch::RetryBudgetShare retries;
   dispatch::CrashQuarantine crashes;
+  dispatch::StreamOrigins origins;
+  // Since when this instance has seen every listing of an upstream.
+  TimePoint listings_followed_since;
   std::unordered_map<dispatch::UpstreamRow, LostConnections> lost_connections;
   TimePoint quarantines_repeated_at;
   // Requests in flight.
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -24,6 +24,7 @@
 // Texts that begin the other datagrams. A digest begins with a number.
 constexpr std::string_view kCrashEvidenceMarker = "crashes-1";
 constexpr std::string_view kLimitNewsMarker = "limits-1";
+constexpr std::string_view kOriginsMarker = "origins-1";
 constexpr std::size_t kMarkedFields = 2;
 constexpr double kThousand = 1000;
 constexpr unsigned kLeaving = 1;
@@ -173,6 +174,10 @@
   return news;
 }
 
+StreamOrigin DecodeOriginRow(const Cbor& row) {
+  return {Number<std::uint64_t>(row.at(0)), Number<std::uint64_t>(row.at(1))};
+}
+
 // Decodes the rows of a message that begins with `marker`. Returns nullopt for any other message.
 template <typename Row>
 std::optional<std::vector<Row>> DecodeMarked(std::string_view bytes,
@@ -372,6 +377,21 @@
   return DecodeMarked(bytes, kLimitNewsMarker, DecodeLimitRow);
 }
 
+// Origins are a CBOR array of a marker and one row a stream: stream, version.
+std::string EncodeOrigins(const std::vector<StreamOrigin>& origins) {
+  Cbor rows = Cbor::array();
+  for (const auto& [stream, version] : origins) {
+    rows.push_back(Cbor::array({stream, version}));
+  }
+  std::string bytes;
+  Cbor::to_cbor(Cbor::array({kOriginsMarker, std::move(rows)}), bytes);
+  return bytes;
+}
+
+std::optional<std::vector<StreamOrigin>> DecodeOrigins(std::string_view bytes) {
+  return DecodeMarked(bytes, kOriginsMarker, DecodeOriginRow);
+}
+
 std::string EncodeTransfer(const StateTransfer& transfer) {
   json::array items;
   for (const dispatch::PublishedItem& item : transfer.items) {
--- a/src/edge/internal/peer_codec.h
+++ b/src/edge/internal/peer_codec.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "dispatch/crash_quarantine.h"
@@ -25,6 +26,11 @@
 std::string EncodeLimitNews(const std::vector<dispatch::LimitNews>& news);
 std::optional<std::vector<dispatch::LimitNews>> DecodeLimitNews(std::string_view bytes);
 
+// Version at which a stream began, both as hashes.
+using StreamOrigin = std::pair<std::uint64_t, std::uint64_t>;
+std::string EncodeOrigins(const std::vector<StreamOrigin>& origins);
+std::optional<std::vector<StreamOrigin>> DecodeOrigins(std::string_view bytes);
+
 // Largest transfer, compressed or not. The platform's values are at most 1 MB each.
 inline constexpr std::size_t kMaxStateBytes = std::size_t{16} << 20U;
 
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -13,6 +13,7 @@
 #include "edge/internal/limit_exchange.h"
 #include "edge/internal/peer_codec.h"
 #include "edge/internal/published_feed.h"
+#include "edge/internal/stream_resumption.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -74,18 +75,6 @@
   return digest;
 }
 
-void SendDatagram(EdgeState& edge, const std::string& address, const std::string& bytes) {
-  boost::system::error_code error;
-  const auto ip = asio::ip::make_address(address, error);
-  if (!error) {
-    edge.digest_socket.send_to(asio::buffer(bytes), udp::endpoint(ip, edge.settings.digest_port), 0,
-                               error);
-  }
-  if (error) {
-    edge.metrics.Count("geranium_digest_send_failures_total");
-  }
-}
-
 // Copies the peer's state after the position `after`, or all of it if the era differs.
 asio::awaitable<void> PullState(Edge edge,
                                 std::string address,
@@ -181,6 +170,18 @@
 
 }  // namespace
 
+void SendDatagram(EdgeState& edge, const std::string& address, const std::string& bytes) {
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(address, error);
+  if (!error) {
+    edge.digest_socket.send_to(asio::buffer(bytes), udp::endpoint(ip, edge.settings.digest_port), 0,
+                               error);
+  }
+  if (error) {
+    edge.metrics.Count("geranium_digest_send_failures_total");
+  }
+}
+
 asio::awaitable<void> ReceiveDigests(Edge edge) {
   std::string buffer(kMaxDatagramBytes, '\0');
   udp::endpoint sender;
@@ -197,7 +198,8 @@
     const std::string address = sender.address().to_string();
     const auto digest = DecodeDigest(bytes);
     if (!digest && edge->peers.peers.contains(address) &&
-        (ReceiveCrashEvidence(*edge, bytes, address) || ReceiveLimitNews(*edge, bytes, address))) {
+        (ReceiveCrashEvidence(*edge, bytes, address) || ReceiveLimitNews(*edge, bytes, address) ||
+         ReceiveOrigins(*edge, bytes))) {
       continue;
     }
     // Accept a digest only from the address that it describes.
@@ -276,6 +278,11 @@
 asio::awaitable<void> ServePeerState(Edge edge,
                                      transport::HttpRequest request,
                                      transport::HttpResponder& responder) {
+  if (IsOriginRequest(request.target)) {
+    transport::HttpResponse origin = AnswerOriginRequest(*edge, request.target);
+    co_await responder.Send(std::move(origin));
+    co_return;
+  }
   if (!request.target.starts_with(kStateTarget)) {
     transport::HttpResponse not_found(404);
     co_await responder.Send(std::move(not_found));
--- a/src/edge/internal/peer_exchange.h
+++ b/src/edge/internal/peer_exchange.h
@@ -13,6 +13,8 @@
 boost::asio::awaitable<void> ReceiveDigests(Edge edge);
 // Sends one digest to some peers and to the seed addresses that are not known peers.
 void SendDigests(EdgeState& edge);
+// Sends a datagram to the digest port of an instance.
+void SendDatagram(EdgeState& edge, const std::string& address, const std::string& bytes);
 // Sends a datagram with news that peers pass on.
 void SendNews(EdgeState& edge, const std::string& bytes);
 // Copies published state from a peer that has a newer revision, if there is one.
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -8,6 +8,7 @@
 #include "dispatch/named_limits.h"
 #include "edge/internal/attempt.h"
 #include "edge/internal/crash_watch.h"
+#include "edge/internal/stream_resumption.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -89,6 +90,7 @@
   selection_request.prompt = run.request.prompt;
   selection_request.body_bytes = run.request.body.size();
   selection_request.tried = run.tried;
+  selection_request.version = run.stream_version;
   dispatch::Selection selection =
       dispatch::SelectUpstream(edge.upstreams, edge.settings.selection, selection_request);
   if (!selection.candidates.empty()) {
@@ -152,6 +154,7 @@
                         : run.stopped == StopReason::kCallerDisconnected ? "caller_gone"
                                                                          : "no"},
             {"elapsed_ms", Milliseconds(RuntimeClock::now() - run.started)},
+            {"version", selection.candidates.front().row->listing.version},
             {"fetch_from", selection.candidates.front().fetch_from},
             {"home", selection.candidates.front().is_home},
             {"shared_parts", DescribeSharedParts(run.request.prompt)},
@@ -204,6 +207,7 @@
   std::optional<dispatch::QuarantineHit> quarantine;
   std::string code = "no_upstream";
   std::string reason;
+  bool is_version_gone = false;
   while (run.stopped == StopReason::kNone) {
     quarantine = FindQuarantine(run, peer_hashes);
     if (quarantine) {
@@ -213,6 +217,7 @@
     }
     const dispatch::Selection selection = Select(run, peer_hashes);
     if (selection.candidates.empty()) {
+      is_version_gone = selection.failure == dispatch::SelectionFailure::kNoneOfVersion;
       reason = reason.empty() ? std::string(dispatch::ToString(selection.failure)) : reason;
       break;
     }
@@ -244,6 +249,10 @@
   if (quarantine && refusal.ran == RunState::kNotRun) {
     refusal.retry_after = quarantine->remaining;
   }
+  if (is_version_gone) {
+    // No other version can continue the stream, and this one may never be back.
+    refusal.retry_after = Duration{0};
+  }
   co_await Refuse(*run.edge, run.request.id, std::move(refusal), responder);
 }
 
@@ -261,6 +270,19 @@
   return {dispatch::SharedPartIds(request.prompt), hash};
 }
 
+// True if a request can move to an upstream outside the silent failure domains. A stream that
+// has begun needs one of its version.
+bool HasReachableAlternative(const RequestRun& run) {
+  const dispatch::UpstreamTable& upstreams = run.edge->upstreams;
+  const auto rows = upstreams.by_service.find(run.service.name);
+  return rows != upstreams.by_service.end() &&
+         std::ranges::any_of(rows->second, [&](const dispatch::UpstreamRow& row) {
+           return dispatch::TakesNewWork(upstreams, *row) &&
+                  !dispatch::IsInSilentDomain(upstreams, *row) &&
+                  (!run.stream_version || row->version == *run.stream_version);
+         });
+}
+
 void ArmExpiry(const std::shared_ptr<RequestRun>& run) {
   run->expiry.expires_at(run->ends_at);
   run->expiry.async_wait([weak = std::weak_ptr(run)](const boost::system::error_code& error) {
@@ -283,7 +305,7 @@
 
 void CancelAttemptsInDomain(EdgeState& edge, std::string_view failure_domain) {
   for (RequestRun* run : edge.runs) {
-    if (run->active != nullptr && CanFailOver(*run) &&
+    if (run->active != nullptr && CanFailOver(*run) && HasReachableAlternative(*run) &&
         run->active_upstream->listing.failure_domain == failure_domain) {
       run->active->Cancel();
     }
@@ -355,6 +377,12 @@
   run->last_event_id = run->request.last_event_id;
   run->traits = TraitsOf(*run);
   ArmExpiry(run);
+  if (run->route.is_stream && run->last_event_id) {
+    if (auto refusal = co_await FindStreamVersion(*run); refusal) {
+      co_await Refuse(*edge, run->request.id, std::move(*refusal), responder);
+      co_return;
+    }
+  }
   responder.OnDisconnect([weak = std::weak_ptr(run)] {
     if (const auto current = weak.lock(); current) {
       CancelRun(*current, StopReason::kCallerDisconnected);
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -51,6 +51,8 @@
   // The headers of a streamed response were sent to the caller.
   bool stream_started = false;
   std::optional<std::uint64_t> last_event_id;
+  // Version of the upstream at which the stream began, once it has begun.
+  std::optional<std::uint64_t> stream_version;
 };
 
 Duration Remaining(const RequestRun& run);
--- /dev/null
+++ b/src/edge/internal/stream_resumption.cc
@@ -0,0 +1,150 @@
+#include "edge/internal/stream_resumption.h"
+
+#include <charconv>
+
+#include "edge/internal/peer_codec.h"
+#include "edge/internal/peer_exchange.h"
+
+namespace geraniumspread::edge::detail {
+namespace {
+
+namespace asio = boost::asio;
+using observability::LogEvent;
+using observability::LogLevel;
+
+constexpr std::string_view kOriginTarget = "/stream-origin?stream=";
+constexpr int kHexadecimal = 16;
+// A peer in another failure domain answers within a few milliseconds.
+constexpr Duration kLookupTimeout = std::chrono::milliseconds(150);
+constexpr std::size_t kMaxAnswerBytes = 64;
+// Time between the end of a stream and its take-up, beyond the timeout of the route.
+constexpr Duration kTakeUpTime = std::chrono::seconds(2);
+// The caller may try again when peers that didn't answer are back.
+constexpr Duration kLookupRetryAfter = std::chrono::milliseconds(300);
+
+std::string_view OriginId(const CallerRequest& request) {
+  return request.resumes.empty() ? std::string_view(request.id) : request.resumes;
+}
+
+std::optional<std::uint64_t> ParseHexadecimal(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number, kHexadecimal);
+  const bool is_whole = error == std::errc{} && end == text.data() + text.size();
+  return is_whole ? std::optional(number) : std::nullopt;
+}
+
+// Stores the version of a stream here and at some peers.
+void StoreOrigin(EdgeState& edge, std::uint64_t stream, std::uint64_t version) {
+  const TimePoint now = RuntimeClock::now();
+  dispatch::RecordOrigin(edge.origins, stream, version, now);
+  const std::string bytes = EncodeOrigins({{stream, version}});
+  for (const std::string& holder : dispatch::OriginHolders(edge.peers, stream, now)) {
+    SendDatagram(edge, holder, bytes);
+  }
+}
+
+struct Lookup {
+  std::optional<std::uint64_t> version;
+  std::string source;
+  // Peers that store the origin but gave no answer.
+  std::size_t silent = 0;
+};
+
+asio::awaitable<Lookup> AskHolders(RequestRun& run, std::uint64_t stream) {
+  EdgeState& edge = *run.edge;
+  Lookup lookup;
+  for (std::string& holder : dispatch::OriginHolders(edge.peers, stream, RuntimeClock::now())) {
+    transport::Endpoint endpoint(holder, edge.settings.peer_endpoint.port);
+    transport::HttpRequest request("GET", std::string(kOriginTarget) + Hexadecimal(stream));
+    transport::ExchangeTimeouts timeouts;
+    timeouts.connect = timeouts.first_byte = timeouts.between_bytes = kLookupTimeout;
+    timeouts.total = kLookupTimeout;
+    auto response = co_await transport::Fetch(edge.connections, std::move(endpoint),
+                                              std::move(request), timeouts, kMaxAnswerBytes);
+    lookup.silent += response ? 0 : 1;
+    if (response && response.value().status == 200) {
+      lookup.version = ParseHexadecimal(response.value().body);
+      lookup.source = std::move(holder);
+    }
+    if (lookup.version || run.stopped != StopReason::kNone) {
+      break;
+    }
+  }
+  co_return lookup;
+}
+
+}  // namespace
+
+void RecordStreamBegin(RequestRun& run, const dispatch::Upstream& upstream) {
+  if (run.stream_version) {
+    return;
+  }
+  run.stream_version = upstream.version;
+  if (run.route.repeatability == dispatch::Repeatability::kResumable) {
+    StoreOrigin(*run.edge, dispatch::StreamKey(run.request.id), upstream.version);
+  }
+}
+
+asio::awaitable<std::optional<Refusal>> FindStreamVersion(RequestRun& run) {
+  EdgeState& edge = *run.edge;
+  const TimePoint now = RuntimeClock::now();
+  const std::uint64_t stream = dispatch::StreamKey(OriginId(run.request));
+  Lookup lookup{dispatch::FindOrigin(edge.origins, stream), "own"};
+  if (!lookup.version) {
+    lookup.version =
+        dispatch::OnlyVersion(edge.upstreams, run.service.name, run.route.timeout + kTakeUpTime,
+                              edge.listings_followed_since, now);
+    lookup.source = "only_version";
+  }
+  if (!lookup.version && !run.request.resumes.empty()) {
+    lookup = co_await AskHolders(run, stream);
+  }
+  LogEvent(LogLevel::kInfo, "stream_taken_up",
+           {{"request_id", run.request.id},
+            {"resumes", run.request.resumes},
+            {"after_event", *run.request.last_event_id},
+            {"version", lookup.version ? Hexadecimal(*lookup.version) : ""},
+            {"source", lookup.version ? lookup.source : "none"},
+            {"silent_peers", lookup.silent}});
+  run.stream_version = lookup.version;
+  if (lookup.version) {
+    StoreOrigin(edge, stream, *lookup.version);
+    co_return std::nullopt;
+  }
+  co_return Refusal{503, "stream_version_unknown",
+                    "the version of the upstream at which the stream began is not known",
+                    RunState::kNotRun, lookup.silent > 0 ? kLookupRetryAfter : Duration{0}};
+}
+
+void UpdateListingsFollowed(EdgeState& edge) {
+  const TimePoint now = RuntimeClock::now();
+  const auto age = dispatch::ConfirmationAge(edge.freshness, now);
+  if (!age || *age > edge.freshness.settings.bound) {
+    edge.listings_followed_since = now;
+  }
+}
+
+bool ReceiveOrigins(EdgeState& edge, std::string_view bytes) {
+  const auto origins = DecodeOrigins(bytes);
+  if (!origins) {
+    return false;
+  }
+  for (const auto& [stream, version] : *origins) {
+    dispatch::RecordOrigin(edge.origins, stream, version, RuntimeClock::now());
+  }
+  return true;
+}
+
+bool IsOriginRequest(std::string_view target) {
+  return target.starts_with(kOriginTarget);
+}
+
+transport::HttpResponse AnswerOriginRequest(const EdgeState& edge, std::string_view target) {
+  const auto stream = ParseHexadecimal(target.substr(kOriginTarget.size()));
+  const auto version = stream ? dispatch::FindOrigin(edge.origins, *stream) : std::nullopt;
+  return version ? transport::HttpResponse(200, {}, Hexadecimal(*version))
+                 : transport::HttpResponse(404);
+}
+
+}  // namespace geraniumspread::edge::detail
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -55,6 +55,11 @@
     std::from_chars(deadline.data(), deadline.data() + deadline.size(), milliseconds);
     request.deadline = std::chrono::milliseconds(milliseconds);
   }
+  if (const std::string_view last = FindHeader(raw.headers, "X-Last-Event-Id"); !last.empty()) {
+    request.last_event_id.emplace();
+    std::from_chars(last.data(), last.data() + last.size(), *request.last_event_id);
+  }
+  request.resumes = FindHeader(raw.headers, "X-Resumes");
   request.forwarded_headers = {{"X-Id", request.id}};
   const std::string_view parts = FindHeader(raw.headers, "X-Parts");
   request.prompt = DecodePrompt(parts);
@@ -165,7 +170,9 @@
   dispatch::UpstreamListing listing;
   listing.id = item.key;
   listing.service = "app";
-  listing.address = item.value;
+  const auto space = item.value.find(' ');
+  listing.address = item.value.substr(0, space);
+  listing.version = space == std::string::npos ? "" : item.value.substr(space + 1);
   listing.failure_domain = "a";
   listing.slots = 8;
   listing.started_at_ms = 1;
@@ -355,13 +362,14 @@
   this->caller_endpoints.push_back(other.caller_endpoint);
 }
 
-RawUpstream& EdgeFixture::AddUpstream(std::deque<Reply> replies) {
+RawUpstream& EdgeFixture::AddUpstream(std::deque<Reply> replies, const std::string& version) {
   this->upstreams.push_back(std::make_unique<RawUpstream>(this->io, std::move(replies)));
   RawUpstream& upstream = *this->upstreams.back();
   ++this->revision;
   const std::vector<dispatch::PublishedItem> changes{
       {"config", "", this->revision},
-      {"u" + std::to_string(this->upstreams.size()), upstream.Address(), this->revision + 1}};
+      {"u" + std::to_string(this->upstreams.size()), upstream.Address() + " " + version,
+       this->revision + 1}};
   this->edge->OnPublishedChanges(changes, {this->era, this->revision + 1});
   for (const auto& other : this->other_instances) {
     other->OnPublishedChanges(changes, {this->era, this->revision + 1});
@@ -375,7 +383,9 @@
                                                   std::string body) {
   static int next_id = 0;
   transport::HttpConnectionPool pool(this->io.get_executor());
-  headers.push_back({"X-Id", "request-" + std::to_string(++next_id)});
+  if (FindHeader(headers, "X-Id").empty()) {
+    headers.push_back({"X-Id", "request-" + std::to_string(++next_id)});
+  }
   if (FindHeader(headers, "X-Key").empty()) {
     headers.push_back({"X-Key", "key"});
   }
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -71,7 +71,7 @@
   void AddInstance(const std::string& address);
 
   // Publishes an upstream of the service "app".
-  RawUpstream& AddUpstream(std::deque<Reply> replies);
+  RawUpstream& AddUpstream(std::deque<Reply> replies, const std::string& version = "v1");
   // Sends one request and waits for the whole response.
   transport::Result<transport::HttpResponse> Call(const std::string& target,
                                                   transport::HttpHeaders headers = {},
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -162,6 +162,15 @@
   BOOST_TEST(!DecodeLimitNews(EncodeCrashEvidence(SampleEvidence())).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(OriginsOfStreamsAreReadBack) {
+  const std::vector<StreamOrigin> sent = {{1ULL << 60U, 7}, {2, 3}};
+  const std::string bytes = EncodeOrigins(sent);
+  BOOST_TEST((DecodeOrigins(bytes).value_or(std::vector<StreamOrigin>{}) == sent));
+  BOOST_TEST(!DecodeDigest(bytes).has_value());
+  BOOST_TEST(!DecodeLimitNews(bytes).has_value());
+  BOOST_TEST(!DecodeOrigins(EncodeLimitNews({})).has_value());
+}
+
 // Guards against a rate that is not a finite number, and against a process that ends.
 BOOST_AUTO_TEST_CASE(MalformedLimitNewsIsDropped) {
   BOOST_TEST(DecodeLimitNews(EncodeLimitNews({{7, 1e300, 0ms}})).has_value());
