--- a/src/dispatch/internal/published_state.cc
+++ b/src/dispatch/internal/published_state.cc
@@ -25,10 +25,11 @@
   if (known != state.items.end() && known->second.revision >= item.revision) {
     return false;
   }
-  const auto retained = state.retained.find(item.key);
-  if (retained != state.retained.end() && retained->second.restored &&
-      retained->second.restored->revision >= item.revision) {
-    return false;
+  if (const auto retained = state.retained.find(item.key); retained != state.retained.end()) {
+    const std::optional<PublishedItem>& restored = retained->second.restored;
+    if (restored && restored->revision >= item.revision) {
+      return false;
+    }
   }
   if (known != state.items.end()) {
     RecordSuperseded(state, known->second, {state.position.era, item.revision});
