Refuse requests that may outlast a planned stop

Report of another operator: requests that came late in the grace period of a planned stop were passed on and cut without an answer at its end. It could happen here: a connection on which a request had begun to arrive stays open after 2.6 s, and the request was passed on with its whole timeout, 12 s for some streams, however little time the process had left.

From 2.6 s on, a request that may last longer than the process is refused at once, as not run, with 10 ms to return; other instances serve it. The test fails without the check: the upstream gets the order and the caller no answer.

--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -29,11 +29,6 @@
 constexpr Duration kReaderDiscoveryTime = std::chrono::seconds(1);
 // A longer gap between ticks means that the process was frozen.
 constexpr Duration kFreezeThreshold = std::chrono::milliseconds(700);
-// After SIGTERM the platform stops sending new connections once two readiness probes, a
-// second apart, have failed.
-constexpr Duration kReadinessPropagationTime = std::chrono::milliseconds(2600);
-// The stop completes this long before the grace period ends.
-constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 
 // CLOCK_BOOTTIME, unlike the steady clock, also runs while the machine is suspended.
 std::chrono::nanoseconds BootTime() {
@@ -62,7 +57,7 @@
 
 void FinishStopIfDrained(EdgeState& edge) {
   const TimePoint now = RuntimeClock::now();
-  const TimePoint deadline = edge.stop_at + edge.settings.stop_grace - kStopMargin;
+  const TimePoint deadline = StopDeadline(edge);
   if (now < edge.stop_at + kReadinessPropagationTime) {
     return;
   }
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -140,6 +140,17 @@
   return selection_request;
 }
 
+// After SIGTERM the platform stops sending new connections once two readiness probes, a
+// second apart, have failed.
+constexpr Duration kReadinessPropagationTime = std::chrono::milliseconds(2600);
+// The stop completes this long before the grace period ends.
+constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+
+// Time at which a stopping process ends at the latest.
+inline TimePoint StopDeadline(const EdgeState& edge) {
+  return edge.stop_at + edge.settings.stop_grace - kStopMargin;
+}
+
 inline bool IsReady(const EdgeState& edge) {
   return edge.config.has_value() && !edge.stopping;
 }
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -27,6 +27,8 @@
 constexpr Duration kStartRetryAfter = std::chrono::milliseconds(500);
 // An upstream that is full or cold accepts more requests within about a second.
 constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(300);
+// Other instances serve meanwhile, so the caller may repeat the request at once.
+constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(10);
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTimeout = 504;
@@ -283,6 +285,13 @@
          });
 }
 
+// True for a request that came late in a planned stop and may last longer than the process.
+bool MayOutlastStop(const RequestRun& run) {
+  const EdgeState& edge = *run.edge;
+  return edge.stopping && run.started >= edge.stop_at + kReadinessPropagationTime &&
+         run.ends_at > StopDeadline(edge);
+}
+
 void ArmExpiry(const std::shared_ptr<RequestRun>& run) {
   run->expiry.expires_at(run->ends_at);
   run->expiry.async_wait([weak = std::weak_ptr(run)](const boost::system::error_code& error) {
@@ -374,6 +383,12 @@
   }
   run->ends_at =
       started + std::min(run->request.deadline.value_or(run->route.timeout), run->route.timeout);
+  if (MayOutlastStop(*run)) {
+    Refusal refusal{kStatusUnavailable, "stopping", "the instance is about to stop",
+                    RunState::kNotRun, kStoppingRetryAfter};
+    co_await Refuse(*edge, run->request.id, std::move(refusal), responder);
+    co_return;
+  }
   run->last_event_id = run->request.last_event_id;
   run->traits = TraitsOf(*run);
   ArmExpiry(run);
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -1,5 +1,7 @@
 #include "edge/edge.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -426,6 +428,30 @@
   BOOST_TEST(page("/explain?service=none").at("failure").as_string() == "no_upstream_listed");
 }
 
+// Guards against a request that is passed on late in a planned stop and is cut without an
+// answer when the process ends. Its first bytes come in time, so the connection stays open.
+BOOST_AUTO_TEST_CASE(ARequestThatMayOutlastAPlannedStopIsRefused) {
+  EdgeFixture fixture;
+  RawUpstream& upstream = fixture.AddUpstream({Silence()});
+  boost::asio::ip::tcp::socket caller(fixture.io);
+  caller.connect(
+      {boost::asio::ip::make_address("127.0.0.1"), fixture.settings.caller_endpoint.port});
+  const std::string request =
+      "POST /resume/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: late\r\nX-Key: key\r\n"
+      "Content-Length: 0\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request.substr(0, 10)));
+  fixture.RunFor(100ms);
+  fixture.edge->Stop([] {});
+  fixture.RunFor(2800ms);
+  boost::asio::write(caller, boost::asio::buffer(request.substr(10)));
+  fixture.RunFor(200ms);
+  std::string answer(4096, '\0');
+  answer.resize(caller.available() > 0 ? caller.read_some(boost::asio::buffer(answer)) : 0);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(answer.find("X-Ran: no") != std::string::npos);
+  BOOST_TEST(upstream.requests.empty());
+}
+
 // A snapshot of the store older than the current state changes nothing.
 BOOST_AUTO_TEST_CASE(AnOlderSnapshotOfTheStoreIsIgnored) {
   EdgeFixture fixture;
