--- a/src/edge/internal/stream_resumption.cc
+++ b/src/edge/internal/stream_resumption.cc
@@ -103,7 +103,7 @@
   LogEvent(LogLevel::kInfo, "stream_taken_up",
            {{"request_id", run.request.id},
             {"resumes", run.request.resumes},
-            {"after_event", *run.request.last_event_id},
+            {"after_event", run.request.last_event_id.value_or(0)},
             {"version", lookup.version ? Hexadecimal(*lookup.version) : ""},
             {"source", lookup.version ? lookup.source : "none"},
             {"silent_peers", lookup.silent}});
