--- a/src/dispatch/tests/store_restore_test.cc
+++ b/src/dispatch/tests/store_restore_test.cc
@@ -13,7 +13,7 @@
 const TimePoint kStart = TimePoint{} + std::chrono::hours(1);
 const TimePoint kLater = kStart + std::chrono::hours(1);
 
-// The value of "config" is its version; keys that begin with "servers/" are renewed.
+// The value of "config" is its version; keys that begin with "upstreams/" are renewed.
 std::optional<std::uint64_t> Version(const PublishedItem& item) {
   std::uint64_t version = 0;
   std::from_chars(item.value.data(), item.value.data() + item.value.size(), version);
@@ -21,7 +21,7 @@
 }
 
 bool IsRenewed(std::string_view key) {
-  return key.starts_with("servers/");
+  return key.starts_with("upstreams/");
 }
 
 // A copy in era 1 that has seen the items change from those of the backup at revision 10.
@@ -58,7 +58,7 @@
   bool Has(const std::string& key) const { return this->state.items.contains(key); }
   std::string Value(const std::string& key) const { return this->state.items.at(key).value; }
 
-  std::vector<PublishedItem> backup = {{"config", "4", 5}, {"servers/a", "ready", 6}};
+  std::vector<PublishedItem> backup = {{"config", "4", 5}, {"upstreams/a", "ready", 6}};
   PublishedState state;
 };
 
@@ -75,7 +75,7 @@
 // since its revision was assigned before.
 BOOST_FIXTURE_TEST_CASE(AWriteAfterTheRestoreTakesEffect, Fixture) {
   this->Change({"config", "8", 11});
-  this->Change({"servers/a", "draining", 12});
+  this->Change({"upstreams/a", "draining", 12});
   this->Restore();
   const auto changes = ApplyChanges(this->state, {{"config", "9", 11}}, {2, 11});
   BOOST_TEST(changes.size() == 1U);
@@ -96,7 +96,7 @@
 // written again under revisions that it knows for other changes.
 BOOST_FIXTURE_TEST_CASE(ALateReaderTakesWhatWasWrittenSinceTheRestore, Fixture) {
   this->Change({"config", "8", 11});
-  this->Change({"servers/a", "draining", 12});
+  this->Change({"upstreams/a", "draining", 12});
   const auto changes = this->Restore({{"config", "9", 11}, {"evacuated/east", "", 12}});
   BOOST_TEST(changes.size() == 2U);
   BOOST_TEST(this->Value("config") == "9");
@@ -155,40 +155,40 @@
 // Guards against requests to an upstream that has left: the restored store lists it until
 // its entry lapses.
 BOOST_FIXTURE_TEST_CASE(AnUpstreamThatLeftIsNotUsedAgain, Fixture) {
-  this->Change({"servers/a", {}, 11, true});
+  this->Change({"upstreams/a", {}, 11, true});
   BOOST_TEST(this->Restore().empty());
-  BOOST_TEST(!this->Has("servers/a"));
-  ApplyChanges(this->state, {{"servers/a", {}, 12, true}}, {2, 12});
+  BOOST_TEST(!this->Has("upstreams/a"));
+  ApplyChanges(this->state, {{"upstreams/a", {}, 12, true}}, {2, 12});
   BOOST_TEST(this->state.retained.empty());
   BOOST_TEST(EndRetentions(this->state, kLater).empty());
-  BOOST_TEST(!this->Has("servers/a"));
+  BOOST_TEST(!this->Has("upstreams/a"));
 }
 
 // The removed upstream was only out of touch with the store. It renews its entry, which
 // changes nothing in it.
 BOOST_FIXTURE_TEST_CASE(AnUpstreamThatIsStillListedAfterSomeTimeIsUsed, Fixture) {
-  this->Change({"servers/a", {}, 11, true});
+  this->Change({"upstreams/a", {}, 11, true});
   this->Restore();
   BOOST_TEST(EndRetentions(this->state, kStart + seconds(5)).empty());
   BOOST_TEST(EndRetentions(this->state, kStart + seconds(6)).size() == 1U);
-  BOOST_TEST(this->Value("servers/a") == "ready");
+  BOOST_TEST(this->Value("upstreams/a") == "ready");
 }
 
 // A new process under an id that another process had.
 BOOST_FIXTURE_TEST_CASE(AnUpstreamThatRegistersAfterTheRestoreIsUsed, Fixture) {
-  this->Change({"servers/a", {}, 11, true});
+  this->Change({"upstreams/a", {}, 11, true});
   this->Restore();
-  BOOST_TEST(ApplyChanges(this->state, {{"servers/a", "new", 11}}, {2, 11}).size() == 1U);
-  BOOST_TEST(this->Value("servers/a") == "new");
+  BOOST_TEST(ApplyChanges(this->state, {{"upstreams/a", "new", 11}}, {2, 11}).size() == 1U);
+  BOOST_TEST(this->Value("upstreams/a") == "new");
 }
 
 // Guards against an upstream that serves and is dropped for good, or that is kept although
 // it has crashed: the caller holds its removal until it had time to register again.
 BOOST_FIXTURE_TEST_CASE(AnUpstreamThatTheBackupLacksIsReportedAsRemoved, Fixture) {
-  this->Change({"servers/b", "ready", 11});
+  this->Change({"upstreams/b", "ready", 11});
   const auto changes = this->Restore();
   BOOST_TEST_REQUIRE(changes.size() == 1U);
-  BOOST_TEST(changes.front().key == "servers/b");
+  BOOST_TEST(changes.front().key == "upstreams/b");
   BOOST_TEST(changes.front().removed);
 }
 
@@ -197,7 +197,7 @@
   this->Change({"config", "8", 11});
   this->Change({"evacuated/east", "", 12});
   this->Restore();
-  BOOST_TEST(ReplaceState(this->state, {{"config", "8", 11}, {"servers/a", "ready", 6}}, {3, 11},
+  BOOST_TEST(ReplaceState(this->state, {{"config", "8", 11}, {"upstreams/a", "ready", 6}}, {3, 11},
                           kStart + seconds(1))
                  .empty());
   BOOST_TEST(this->Has("evacuated/east"));
@@ -210,12 +210,12 @@
 // A read of all items in the same era, for example because the history was dropped.
 BOOST_FIXTURE_TEST_CASE(RetainedItemsOutlastAFullRead, Fixture) {
   this->Change({"config", "8", 11});
-  this->Change({"servers/a", {}, 12, true});
+  this->Change({"upstreams/a", {}, 12, true});
   this->Change({"evacuated/east", "", 13});
   this->Restore();
   BOOST_TEST(ReplaceState(this->state, this->backup, {2, 15}, kStart).empty());
   BOOST_TEST(this->Value("config") == "8");
-  BOOST_TEST(!this->Has("servers/a"));
+  BOOST_TEST(!this->Has("upstreams/a"));
   BOOST_TEST(this->Has("evacuated/east"));
 }
 
@@ -223,7 +223,7 @@
 // configuration.
 BOOST_FIXTURE_TEST_CASE(ANewInstanceGetsLostChangesFromAPeer, Fixture) {
   this->Change({"config", "8", 11});
-  this->Change({"servers/a", {}, 12, true});
+  this->Change({"upstreams/a", {}, 12, true});
   this->Change({"evacuated/east", "", 13});
   this->Restore();
   PublishedState fresh;
@@ -234,7 +234,7 @@
   const auto changes = MergeRetained(fresh, CopyRetained(this->state, kStart), kStart);
   BOOST_TEST(changes.size() == 3U);
   BOOST_TEST(fresh.items.at("config").value == "8");
-  BOOST_TEST(!fresh.items.contains("servers/a"));
+  BOOST_TEST(!fresh.items.contains("upstreams/a"));
   BOOST_TEST(fresh.items.contains("evacuated/east"));
   BOOST_TEST(RetainedFingerprint(fresh) == RetainedFingerprint(this->state));
   // The time limit counts from the restore.
@@ -259,7 +259,7 @@
   this->Change({"config", "8", 11});
   this->Restore();
   PublishedState fresh;
-  ReplaceState(fresh, {{"config", "9", 11}, {"servers/a", "ready", 6}}, {2, 11}, kStart);
+  ReplaceState(fresh, {{"config", "9", 11}, {"upstreams/a", "ready", 6}}, {2, 11}, kStart);
   BOOST_TEST(MergeRetained(fresh, CopyRetained(this->state, kStart), kStart).empty());
   BOOST_TEST(fresh.items.at("config").value == "9");
 }
