Compare retained items once a tick, and order two checks of streams

Read again: the fingerprint of retained items was hashed anew for every digest that arrives, beside a pass over all peers; after a restore in a large fleet that may be thousands of keys, some thirty times a second. Once a tick, 200 ms, is enough, as digests carry it no oftener. A cut failure domain made every request in flight look for other upstreams before its own domain was compared. A caller that left while peers were asked for its stream's version was noticed only afterwards.

--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -107,6 +107,7 @@
   TickCrashEvidence(*edge);
   SendLimitNews(*edge);
   PullIfBehind(edge);
+  PullRetained(edge);
   if (edge->stopping) {
     FinishStopIfDrained(*edge);
   }
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -138,23 +138,6 @@
   }
 }
 
-// Copies lost changes from a peer that retains others than this instance, for example after
-// this instance was restarted or was cut off while the store was restored.
-void PullRetained(const Edge& edge) {
-  const dispatch::PublishedState& state = edge->published;
-  const dispatch::Peer* peer = dispatch::ChooseRetainingPeer(
-      edge->peers, state.position, dispatch::RetainedFingerprint(state), edge->merged_retained,
-      RuntimeClock::now());
-  if (peer == nullptr || edge->pulling) {
-    return;
-  }
-  edge->pulling = true;
-  edge->merged_retained.set(peer->digest.retained_fingerprint);
-  asio::co_spawn(edge->io,
-                 PullState(edge, peer->digest.address, peer->digest.instance, kCompleteState),
-                 asio::detached);
-}
-
 // Decodes "REVISION&era=ERA". Earlier builds send the revision alone.
 dispatch::StorePosition DecodePosition(std::string_view text) {
   dispatch::StorePosition position;
@@ -259,7 +242,6 @@
       dispatch::ChooseNewerPeer(edge->peers, edge->published.position, edge->random, now);
   if (ahead == nullptr) {
     edge->behind_since.reset();
-    PullRetained(edge);
     return;
   }
   const TimePoint behind_since = edge->behind_since.value_or(now);
@@ -275,6 +257,21 @@
       asio::detached);
 }
 
+void PullRetained(const Edge& edge) {
+  const dispatch::PublishedState& state = edge->published;
+  const dispatch::Peer* peer = dispatch::ChooseRetainingPeer(
+      edge->peers, state.position, dispatch::RetainedFingerprint(state), edge->merged_retained,
+      RuntimeClock::now());
+  if (peer == nullptr || edge->pulling) {
+    return;
+  }
+  edge->pulling = true;
+  edge->merged_retained.set(peer->digest.retained_fingerprint);
+  asio::co_spawn(edge->io,
+                 PullState(edge, peer->digest.address, peer->digest.instance, kCompleteState),
+                 asio::detached);
+}
+
 asio::awaitable<void> ServePeerState(Edge edge,
                                      transport::HttpRequest request,
                                      transport::HttpResponder& responder) {
--- a/src/edge/internal/peer_exchange.h
+++ b/src/edge/internal/peer_exchange.h
@@ -19,7 +19,10 @@
 void SendNews(EdgeState& edge, const std::string& bytes);
 // Copies published state from a peer that has a newer revision, if there is one.
 void PullIfBehind(const Edge& edge);
-// Handles a peer's request for published state.
+// Copies lost changes from a peer that retains others than this instance, for example after
+// this instance was restarted or was cut off while the store was restored.
+void PullRetained(const Edge& edge);
+// Handles a peer's request for published state or for the origin of a stream.
 boost::asio::awaitable<void> ServePeerState(Edge edge,
                                             transport::HttpRequest request,
                                             transport::HttpResponder& responder);
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -314,8 +314,9 @@
 
 void CancelAttemptsInDomain(EdgeState& edge, std::string_view failure_domain) {
   for (RequestRun* run : edge.runs) {
-    if (run->active != nullptr && CanFailOver(*run) && HasReachableAlternative(*run) &&
-        run->active_upstream->listing.failure_domain == failure_domain) {
+    if (run->active != nullptr && CanFailOver(*run) &&
+        run->active_upstream->listing.failure_domain == failure_domain &&
+        HasReachableAlternative(*run)) {
       run->active->Cancel();
     }
   }
@@ -392,17 +393,17 @@
   run->last_event_id = run->request.last_event_id;
   run->traits = TraitsOf(*run);
   ArmExpiry(run);
+  responder.OnDisconnect([weak = std::weak_ptr(run)] {
+    if (const auto current = weak.lock(); current) {
+      CancelRun(*current, StopReason::kCallerDisconnected);
+    }
+  });
   if (run->route.is_stream && run->last_event_id) {
     if (auto refusal = co_await FindStreamVersion(*run); refusal) {
       co_await Refuse(*edge, run->request.id, std::move(*refusal), responder);
       co_return;
     }
   }
-  responder.OnDisconnect([weak = std::weak_ptr(run)] {
-    if (const auto current = weak.lock(); current) {
-      CancelRun(*current, StopReason::kCallerDisconnected);
-    }
-  });
   co_await RunAttempts(*run, responder);
   run->expiry.cancel();
   run->edge->metrics.ObserveTime("geranium_request_seconds", RuntimeClock::now() - started);
