--- a/src/dispatch/tests/state_relay_test.cc
+++ b/src/dispatch/tests/state_relay_test.cc
@@ -227,6 +227,17 @@
   return values;
 }
 
+void CheckCopies(const Store& store, const std::vector<Copy>& copies) {
+  for (std::size_t index = 0; index < kCopies; ++index) {
+    const Copy& copy = copies[index];
+    BOOST_TEST_CONTEXT("copy " << index) {
+      BOOST_TEST((copy.state.position == StorePosition{store.era, store.revision}));
+      BOOST_TEST((ValuesOf(copy.state.items) == ValuesOf(store.items)));
+      BOOST_TEST((copy.applied == ValuesOf(store.items)));
+    }
+  }
+}
+
 // Guards against an upstream that left and stays in use on some instances because its
 // change came between two pages of a reader and was not forwarded.
 BOOST_AUTO_TEST_CASE(ACopyAtTheNewestRevisionHasAllChanges) {
@@ -240,14 +251,7 @@
         Step(store, copies, random);
       }
       Settle(store, copies);
-      for (std::size_t index = 0; index < kCopies; ++index) {
-        const Copy& copy = copies[index];
-        BOOST_TEST_CONTEXT("copy " << index) {
-          BOOST_TEST((copy.state.position == StorePosition{store.era, store.revision}));
-          BOOST_TEST((ValuesOf(copy.state.items) == ValuesOf(store.items)));
-          BOOST_TEST((copy.applied == ValuesOf(store.items)));
-        }
-      }
+      CheckCopies(store, copies);
     }
   }
 }
@@ -271,15 +275,10 @@
         }
       }
       Settle(store, copies);
-      for (std::size_t index = 0; index < kCopies; ++index) {
-        Copy& copy = copies[index];
+      for (Copy& copy : copies) {
         Apply(copy, EndRetentions(copy.state, kNow + std::chrono::hours(1)));
-        BOOST_TEST_CONTEXT("copy " << index) {
-          BOOST_TEST((copy.state.position == StorePosition{store.era, store.revision}));
-          BOOST_TEST((ValuesOf(copy.state.items) == ValuesOf(store.items)));
-          BOOST_TEST((copy.applied == ValuesOf(store.items)));
-        }
       }
+      CheckCopies(store, copies);
     }
   }
 }
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -46,7 +46,7 @@
   // Entries of healthy upstreams expire only in a store outage longer than this.
   Duration min_store_outage = std::chrono::seconds(3);
   // Time after a restore of the store within which live upstreams renew their entries.
-  Duration renewal_time = std::chrono::milliseconds(5900);
+  Duration renewal_time = dispatch::RestoreRules{}.renewal_time;
   // Grace period between SIGTERM and the end of the process.
   Duration stop_grace = std::chrono::seconds(8);
   // Logs one in this many requests that succeed at the first attempt.
