Keep the cold limit when a whole fleet starts at once

What callers saw: after a power loss of all instances a cold engine got 22 to 24 requests in a second where 18.6 are allowed, and may crash.

Cause: a new process divides the limit by the instances it knows, at least 8. In a fleet of 23 that starts at once each takes itself for one of eight, and for the first in every rendezvous order, until digests of the others have arrived. Those that peers had named, but that had not yet sent a digest, were not counted.

Evidence: fleet_start_test, most requests to one cold upstream in a second, 20 allowed, before: 46 (23 instances), 188 (95), 817 (410); after: 16, 16, 10. Ruled out: a fixed waiting time of 2 s (29 at 95, 362 at 410).

Why it works: an instance sends nothing to a cold upstream until it hears of no further instances, 15 s at most, so the shares are those of a nearly complete list. Open: a fleet that starts while it is partitioned counts each side alone.

--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -114,7 +114,7 @@
 Duration SilenceTime(const PeerTable& peers, const DomainDigests& digests) {
   const PeerSettings& settings = peers.settings;
   // Peers in other failure domains, as an instance of this domain counts them.
-  const std::size_t remote_peers = KnownInstances(peers) - digests.instances;
+  const std::size_t remote_peers = peers.peers.size() + 1 - digests.instances;
   double intervals = 0;
   if (SamplesTargets(peers, remote_peers)) {
     const double digests_per_interval = static_cast<double>(digests.instances) *
@@ -168,12 +168,16 @@
   peer.load_included = true;
   AddLoads(upstreams, peer);
   ApplyReports(upstreams, digest, now);
-  peers.announced_addresses.erase(digest.address);
+  const bool was_announced = peers.announced_addresses.erase(digest.address) > 0;
+  bool is_discovery = !was_announced && change == PeerChange::kJoined;
   for (const std::string& address : digest.known_addresses) {
     if (address != peers.self_address && !peers.peers.contains(address)) {
-      peers.announced_addresses.try_emplace(address, now);
+      is_discovery = peers.announced_addresses.try_emplace(address, now).second || is_discovery;
     }
   }
+  if (is_discovery) {
+    peers.last_discovery = now;
+  }
   return change;
 }
 
@@ -263,15 +267,25 @@
 }
 
 std::size_t KnownInstances(const PeerTable& peers) {
-  return peers.peers.size() + 1;
+  return peers.peers.size() + peers.announced_addresses.size() + 1;
+}
+
+bool KnowsFleet(const PeerTable& peers, TimePoint now) {
+  const PeerSettings& settings = peers.settings;
+  const bool is_settled =
+      peers.last_discovery && *peers.last_discovery + settings.discovery_pause <= now;
+  return is_settled || peers.started_at + settings.max_discovery_time <= now;
 }
 
 std::vector<std::uint64_t> PeerHashes(const PeerTable& peers) {
   std::vector<std::uint64_t> hashes;
-  hashes.reserve(peers.peers.size());
+  hashes.reserve(peers.peers.size() + peers.announced_addresses.size());
   for (const auto& [address, peer] : peers.peers) {
     hashes.push_back(peer.address_hash);
   }
+  for (const auto& [address, announced_at] : peers.announced_addresses) {
+    hashes.push_back(StableHash(address));
+  }
   return hashes;
 }
 
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -57,7 +57,8 @@
   if (request.cold_requests_per_second <= 0 || !IsCold(upstream, request.now)) {
     return true;
   }
-  return IsWithinColdLimit(settings.cold, request.cold_requests_per_second, request.instances,
+  return request.knows_fleet &&
+         IsWithinColdLimit(settings.cold, request.cold_requests_per_second, request.instances,
                            RendezvousRank(request, upstream), upstream.cold_sends, request.now);
 }
 
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -72,6 +72,10 @@
   Duration min_domain_silence = std::chrono::milliseconds(300);
   double silence_digests = 2.5;
   double sampled_silence_digests = 10;
+  // After its start an instance knows nearly all others when it has not heard of a new one for
+  // `discovery_pause`, and at the latest after `max_discovery_time`.
+  Duration discovery_pause = std::chrono::milliseconds(600);
+  Duration max_discovery_time = std::chrono::seconds(15);
   // A silent peer still counts as an instance for this long, because it may keep
   // working on the other side of a partition.
   Duration peer_retention = std::chrono::seconds(60);
@@ -103,6 +107,9 @@
   PeerSettings settings;
   std::string self_address;
   std::string self_domain;
+  TimePoint started_at;
+  // When this instance last heard of an instance that it did not know.
+  std::optional<TimePoint> last_discovery;
   // Keyed by address, because a process with another name may take over a machine.
   std::map<std::string, Peer> peers;
   // Number of these peers in the own failure domain and in other failure domains.
@@ -140,8 +147,13 @@
                                              UpstreamTable& upstreams,
                                              TimePoint now);
 bool IsLive(const PeerTable& peers, const Peer& peer, TimePoint now);
-// Returns the number of known instances: this one and all peers in the table.
+// Returns the number of known instances: this one, all peers in the table, and those that
+// peers have announced.
 std::size_t KnownInstances(const PeerTable& peers);
+// True if `KnownInstances` is nearly complete, so that limits of the whole fleet can be divided
+// by it.
+bool KnowsFleet(const PeerTable& peers, TimePoint now);
+// Returns the hashes of the known instances but this one.
 std::vector<std::uint64_t> PeerHashes(const PeerTable& peers);
 // Returns a random one of the live peers with the highest position above `position`,
 // preferring the own failure domain, or null if no peer is ahead. The random choice
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -38,6 +38,8 @@
   std::uint64_t own_hash = 0;
   std::span<const std::uint64_t> peer_hashes;
   std::size_t instances = 1;
+  // False while this instance doesn't know how many others there are.
+  bool knows_fleet = true;
   // Requests per second that a cold upstream of the service can handle.
   double cold_requests_per_second = 0;
   // Ids of the upstreams to which this request was already sent.
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -2,6 +2,7 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
@@ -51,6 +52,13 @@
   }
 }
 
+// False for the only instance of its fleet.
+bool HasOtherSeeds(const EdgeSettings& settings) {
+  return std::ranges::any_of(settings.seed_addresses, [&settings](const std::string& address) {
+    return address != settings.address;
+  });
+}
+
 bool IsReaderDiscoveryDone(const EdgeState& edge) {
   return RuntimeClock::now() >= edge.started_at + kReaderDiscoveryTime;
 }
@@ -186,6 +194,10 @@
   this->state->retries.settings = this->state->settings.retries;
   this->state->freshness.settings = this->state->settings.freshness;
   this->state->started_at = RuntimeClock::now();
+  this->state->peers.started_at = this->state->started_at;
+  if (!detail::HasOtherSeeds(this->state->settings)) {
+    this->state->peers.settings.max_discovery_time = Duration{0};
+  }
   this->state->freshness.running_since = this->state->started_at;
   this->state->listings_followed_since = this->state->started_at;
   this->state->store_outage.min_duration = this->state->settings.min_store_outage;
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -137,6 +137,7 @@
   selection_request.instances =
       dispatch::AssumedInstances({.known = dispatch::KnownInstances(edge.peers)});
   selection_request.now = RuntimeClock::now();
+  selection_request.knows_fleet = dispatch::KnowsFleet(edge.peers, selection_request.now);
   return selection_request;
 }
 
