Keep a removal that a peer's retained item would undo

What operators saw: a failure domain that they took back right after a restore was in service for 130 ms and then out of service again, for up to a minute.

Cause: an instance that reads the restored store only after the removal takes the missing item for a lost change and retains it. Its peers adopted the retained item, as their copies lacked the key too, although they had seen its removal in the new era.

The test failed on the code before (MergeRetained returned a change).

--- a/src/dispatch/internal/store_restore.cc
+++ b/src/dispatch/internal/store_restore.cc
@@ -129,6 +129,14 @@
   era.items[known.key] = {known.key, known.value, position.revision};
 }
 
+// True if the store is known here to have removed the item in this era.
+bool WasRemovedInEra(const PublishedState& state, std::string_view key) {
+  const std::uint64_t key_hash = StableHash(key);
+  return std::ranges::any_of(state.superseded, [&](const SupersededValue& value) {
+    return value.key_hash == key_hash && value.replaced_at.era == state.position.era;
+  });
+}
+
 // True if the store has not written the key since the state from which `copy` comes.
 bool IsUnwritten(const PublishedState& state, const RetainedCopy& copy) {
   const auto retained = state.retained.find(copy.key);
@@ -137,7 +145,7 @@
   }
   const auto known = state.items.find(copy.key);
   if (known == state.items.end() || !copy.restored) {
-    return known == state.items.end() && !copy.restored;
+    return known == state.items.end() && !copy.restored && !WasRemovedInEra(state, copy.key);
   }
   return known->second.revision == copy.restored->revision &&
          known->second.value == copy.restored->value;
--- a/src/dispatch/tests/store_restore_test.cc
+++ b/src/dispatch/tests/store_restore_test.cc
@@ -264,6 +264,20 @@
   BOOST_TEST(fresh.items.at("config").value == "9");
 }
 
+// Guards against a failure domain that is evacuated again by a peer that read the store only after
+// the end of the evacuation, and takes the missing item for a lost change.
+BOOST_FIXTURE_TEST_CASE(ARetainedItemOfAPeerDoesNotUndoALaterRemoval, Fixture) {
+  this->Change({"evacuated/east", "", 11});
+  PublishedState late_reader = this->state;
+  this->backup.push_back({"evacuated/east", "", 11});
+  this->Restore();
+  ApplyChanges(this->state, {{"evacuated/east", {}, 12, true}}, {2, 12});
+  ReplaceState(late_reader, {this->backup[0], this->backup[1]}, {2, 12}, kStart);
+  BOOST_TEST(late_reader.retained.contains("evacuated/east"));
+  BOOST_TEST(MergeRetained(this->state, CopyRetained(late_reader, kStart), kStart).empty());
+  BOOST_TEST(!this->Has("evacuated/east"));
+}
+
 // Guards against instances that copy from each other without end, because the time limit
 // ends at one a moment before the other.
 BOOST_FIXTURE_TEST_CASE(AnEndedRetentionIsNotTakenUpAgain, Fixture) {
