Drop an item that was removed after a restore of the store

What operators saw: a failure domain that they took back after a restore, before an instance had read the store again, stayed out of service there for up to a minute.

Cause: each item that the restored store lacks was taken for a lost change. Items whose revision the backup contains can't be lost; they were removed since. The newest revision that is surely in the backup is that of an item which the store holds unchanged, below the first one known to be lost: an item may have got its old revision again.

Evidence: the test fails on the code before (the item is retained, 1 change in place of 2).

--- a/src/dispatch/internal/store_restore.cc
+++ b/src/dispatch/internal/store_restore.cc
@@ -1,7 +1,9 @@
 #include "dispatch/store_restore.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
+#include <span>
 #include <unordered_map>
 #include <utility>
 
@@ -54,6 +56,30 @@
              : StorePosition{state.position.era, item.revision};
 }
 
+// Returns the newest revision that the backup is known to contain, by the items that the restored
+// store holds as this copy knew them. An item may have been written again under the revision that
+// it had, so revisions from the first one on that the store has lost prove nothing.
+std::uint64_t RevisionInBackup(const PublishedState& state,
+                               const SupersededByKey& superseded,
+                               std::span<const PublishedItem> items) {
+  std::uint64_t first_lost = std::numeric_limits<std::uint64_t>::max();
+  for (const PublishedItem& item : items) {
+    const auto known = state.items.find(item.key);
+    if (known != state.items.end() && IsSuperseded(superseded, item)) {
+      first_lost = std::min(first_lost, known->second.revision);
+    }
+  }
+  std::uint64_t newest = 0;
+  for (const PublishedItem& item : items) {
+    const auto known = state.items.find(item.key);
+    if (known != state.items.end() && item.revision < first_lost &&
+        known->second.revision == item.revision && known->second.value == item.value) {
+      newest = std::max(newest, item.revision);
+    }
+  }
+  return newest;
+}
+
 // Returns the position at which the key was removed.
 StorePosition RemovalOf(const SupersededByKey& index, std::string_view key) {
   StorePosition removal;
@@ -118,9 +144,12 @@
 void AddMissingItem(NewEra& era,
                     const PublishedState& state,
                     const PublishedItem& known,
+                    std::uint64_t revision_in_backup,
                     StorePosition position,
                     TimePoint now) {
-  if (IsRenewed(state.restore_rules, known.key)) {
+  const bool is_removed_since =
+      !state.retained.contains(known.key) && known.revision <= revision_in_backup;
+  if (is_removed_since || IsRenewed(state.restore_rules, known.key)) {
     era.superseded.push_back(known);
     era.changes.push_back({known.key, {}, position.revision, true});
     return;
@@ -170,6 +199,7 @@
                                     StorePosition position,
                                     TimePoint now) {
   const SupersededByKey superseded = IndexSuperseded(state);
+  const std::uint64_t revision_in_backup = RevisionInBackup(state, superseded, items);
   NewEra era;
   std::set<std::string> present;
   for (PublishedItem& item : items) {
@@ -178,7 +208,7 @@
   }
   for (const auto& [key, known] : state.items) {
     if (!present.contains(key)) {
-      AddMissingItem(era, state, known, position, now);
+      AddMissingItem(era, state, known, revision_in_backup, position, now);
     }
   }
   for (const PublishedItem& item : era.superseded) {
--- a/src/dispatch/tests/store_restore_test.cc
+++ b/src/dispatch/tests/store_restore_test.cc
@@ -133,6 +133,30 @@
   BOOST_TEST(!this->Has("evacuated/east"));
 }
 
+// Guards against a failure domain that stays out of service although the operators took it back
+// after the restore: an item that the backup contains and the store lacks was removed since.
+BOOST_FIXTURE_TEST_CASE(AnEvacuationThatEndsAfterTheRestoreEnds, Fixture) {
+  this->Change({"evacuated/east", "", 11});
+  this->Change({"config", "8", 12});
+  this->backup.push_back({"config", "8", 12});
+  this->Change({"evacuated/west", "", 13});
+  const auto changes = this->Restore({{"upstreams/b", "ready", 14}});
+  BOOST_TEST(changes.size() == 2U);
+  BOOST_TEST(!this->Has("evacuated/east"));
+  BOOST_TEST(this->Has("evacuated/west"));
+}
+
+// Guards against a lost evacuation that ends at once, because another lost item was written again
+// under the revision that it had. The backup contains less than that, as it has an older value.
+BOOST_FIXTURE_TEST_CASE(AnItemThatGotItsOldRevisionAgainIsNoPartOfTheBackup, Fixture) {
+  this->Change({"config", "6", 11});
+  this->Change({"evacuated/east", "", 12});
+  this->Change({"upstreams/b", "ready", 13});
+  this->Restore({{"upstreams/b", "ready", 13}});
+  BOOST_TEST(this->Has("evacuated/east"));
+  BOOST_TEST(this->Value("config") == "6");
+}
+
 // The operators may have ended the evacuation before they wrote it again. The store then
 // reports no removal.
 BOOST_FIXTURE_TEST_CASE(AnEvacuationThatNobodyWritesAgainEnds, Fixture) {
