Discover each instance once while peers announce it

Cause: an announced address lapsed 10 s after it was first announced if its instance had sent no digest here, and then was taken for a new instance, which suspends requests to cold upstreams since. The engines that were not cold took what the cold ones might have had.

The test failed on the code before (2 checks).

Why it works: an announcement is renewed by each digest that names the address, so only addresses that nobody calls live lapse.

--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -7,7 +7,8 @@
 namespace geraniumspread::dispatch {
 namespace {
 
-// An announced address that sends no digest is removed after this time.
+// An announced address that sends no digest and that no peer announces again is removed after this
+// time.
 constexpr Duration kAnnouncedLifetime = std::chrono::seconds(10);
 
 void AddLoads(UpstreamTable& upstreams, const Peer& peer) {
@@ -172,7 +173,8 @@
   bool is_discovery = !was_announced && change == PeerChange::kJoined;
   for (const std::string& address : digest.known_addresses) {
     if (address != peers.self_address && !peers.peers.contains(address)) {
-      is_discovery = peers.announced_addresses.try_emplace(address, now).second || is_discovery;
+      is_discovery =
+          peers.announced_addresses.insert_or_assign(address, now).second || is_discovery;
     }
   }
   if (is_discovery) {
--- a/src/dispatch/tests/peer_table_test.cc
+++ b/src/dispatch/tests/peer_table_test.cc
@@ -76,6 +76,22 @@
   BOOST_TEST(KnownInstances(peers) == 1U);
 }
 
+// Guards against a large fleet in which known instances are taken for new ones until each of them
+// has sent a digest here, so that no cold upstream gets a request meanwhile.
+BOOST_AUTO_TEST_CASE(AnInstanceThatPeersStillAnnounceIsDiscoveredOnce) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  for (std::uint64_t sequence = 1; sequence <= 20; ++sequence) {
+    const TimePoint now = kStart + sequence * 1s;
+    PeerDigest digest = Digest("10.0.0.2", sequence, 0);
+    digest.known_addresses = {"10.0.0.3"};
+    ApplyDigest(peers, upstreams, digest, now);
+    ExpirePeers(peers, upstreams, now);
+    BOOST_TEST(KnownInstances(peers) == 3U);
+  }
+  BOOST_TEST((peers.last_discovery == kStart + 1s));
+}
+
 // Guards against an instance that counts itself as a peer when its address is in a
 // seed list.
 BOOST_AUTO_TEST_CASE(AnInstanceIsNotItsOwnPeer) {
