--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -148,13 +148,13 @@
 class Store:
     """The platform's store: items, watches and drills (a restore from an older copy)."""
 
-    def __init__(self, address, port, record):
+    def __init__(self, address, port, record, era=1):
         self.record = record
         self.items = {}
         self.events = []
         self.revision = 100
         self.first_kept = 100
-        self.era = 1
+        self.era = era
         self.is_down = False
         self.changed = asyncio.Condition()
         self.server = Server(address, port, self.serve)
@@ -193,14 +193,17 @@
         self.is_down = False
         self.record("store", down="over")
 
-    async def restore(self, copy, away_s):
-        """A drill: the store is away for a moment and comes back from a copy."""
+    async def restore(self, copy, away_s, pending=()):
+        """A drill: the store is away for a moment and comes back from a copy. `pending` are writes of
+        the operator, who tries again until the store takes them."""
         await self.server.close(reset=True)
         self.record("store", drill="away")
         await asyncio.sleep(away_s)
         self.items, self.revision = dict(copy[0]), copy[1]
         self.events, self.first_kept = [], self.revision
         self.era += 1
+        for key, value in pending:
+            await self.put(key, value)
         await self.server.open()
         self.record("store", drill="back", rev=self.revision, era=self.era)
 
