--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -11,6 +11,7 @@
 import random
 import signal
 import socket
+import struct
 import tempfile
 import time
 
@@ -111,6 +112,14 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def reset_connection(writer):
+    """Ends a connection with a reset."""
+    endpoint = writer.get_extra_info("socket")
+    if endpoint is not None and endpoint.fileno() >= 0:
+        endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Server:
     """A loopback HTTP server; `serve` answers one request and returns True to keep the connection."""
 
@@ -140,7 +149,7 @@
             self.server = None
         for writer in list(self.writers):
             if reset:
-                writer.transport.abort()
+                reset_connection(writer)
             else:
                 writer.close()
 
@@ -628,6 +637,9 @@
 
     async def play():
         world = World(folder, memory_mb)
+        # A script that is stopped early ends its processes too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             broken, verdict = await asyncio.wait_for(story(world), 115)
             world.record("verdict", rule="broken" if broken else "held", because=verdict)
