Review: the chunk header without end comes at nearly the rate of a link

At 80 MB a second about half of the answers without end stayed below the memory limit until their deadline, so a slower machine could have missed the case. Now 110 of 125 MB a second.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,7 +18,7 @@
 # One in this many answers of a runner in trouble: the share of spoilt answers on the page.
 SPOILT_ONE_IN = 50
 # A machine's link carries 1,000 Mbit/s; a runner in trouble sends at less than that.
-BYTES_PER_S = 80e6
+BYTES_PER_S = 110e6
 CLIENTS_OF_MACHINE = 18
 PAUSE_S = 0.35
 # Inside the objectives of the classes (500 to 800 ms).
