--- a/review/2/case.py
+++ b/review/2/case.py
@@ -117,4 +117,4 @@
         f"{len(lost)}; processes over their memory limit: {ends}")
 
 
-sys.exit(run(HERE, story))
+sys.exit(run(os.path.join(HERE, "record.txt"), story))
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -24,8 +24,8 @@
 class Record:
     """Writes what was sent, answered and run, with seconds since the start of the script."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.started = time.monotonic()
 
     def now(self):
@@ -562,8 +562,8 @@
 class World:
     """A small deployment: a store, runners, machines in zones and what a script does with them."""
 
-    def __init__(self, folder, memory_mb=260):
-        self.record = Record(folder)
+    def __init__(self, record_path, memory_mb=260):
+        self.record = Record(record_path)
         self.temporary = tempfile.TemporaryDirectory(prefix="geranium-review-")
         self.folder = self.temporary.name
         self.addresses = Addresses()
@@ -632,11 +632,12 @@
         self.temporary.cleanup()
 
 
-def run(folder, story, memory_mb=260):
-    """Runs a story and returns the script's exit code: 1 broken, 0 held, 2 could not run."""
+def run(record_path, story, memory_mb=260):
+    """Runs a story, writes its record and returns the script's exit code: 1 broken, 0 held, 2 could
+    not run."""
 
     async def play():
-        world = World(folder, memory_mb)
+        world = World(record_path, memory_mb)
         # A script that is stopped early ends its processes too.
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
