transport: limit what the parser can't process yet, and all answers together

An upstream had sent a chunk header without end to one of these instances.

Cause: the buffer of a connection had no size. Beast limits the head of a message only; a chunk header and a trailer stay in the buffer until they are complete, so the limits of ReadAll and ExtractEvents see no byte, and the timeouts between bytes are never met by a fast sender.

Ruled out: a body or an event that grows, as both have limits that tests reach; a head or an interim head, which header_limit ends.

Fix: the buffer itself is limited, 64 KiB for an answer and twice the largest header for a request. On related paths: unmatched answers are skipped up to 4 MiB, and the answers of a pool that are over 64 KiB have 32 MiB together until they are delivered, as 4 MiB each is no limit of a process.

Failed before: EndlessPartsOfAnAnswerReachALimit (5 of 8 parts timed out), EndlessPartsOfARequestAreRefused, EndlessFramingBytesReachALimit (4 of 4). LargeAnswersTogetherReachTheLimitOfThePool fails with its check switched off (10 answers held, 5 allowed). Suites transport_test and edge_test pass.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -152,7 +152,7 @@
     run.active_upstream->last_received_at = now;
     const bool at_end = bytes.value().empty();
     const std::string events = ExtractEvents(splitter, bytes.value());
-    if (splitter.too_large) {
+    if (splitter.too_large || !exchange.RecordBuffered(splitter.pending.size())) {
       co_return StreamEnd{"event_too_large"};
     }
     if (events.empty() && !at_end) {
@@ -281,6 +281,7 @@
     attempt.result = AttemptResult::kFailedAnswer;
     attempt.reason = "status_" + std::to_string(head.status);
     attempt.answer = std::move(response);
+    attempt.answer_memory = exchange.Memory();
     co_return attempt;
   }
   dispatch::RecordAttemptSuccess(upstream.health, now);
--- a/src/edge/internal/attempt.h
+++ b/src/edge/internal/attempt.h
@@ -32,6 +32,7 @@
   AttemptResult result = AttemptResult::kNotSent;
   std::string reason;
   std::optional<transport::HttpResponse> answer;
+  transport::AnswerMemory answer_memory;
   // The upstream closed the connection before the response was complete.
   bool connection_lost = false;
 };
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -206,6 +206,7 @@
 asio::awaitable<void> RunAttempts(RequestRun& run, transport::HttpResponder& responder) {
   const std::vector<std::uint64_t> peer_hashes = dispatch::PeerHashes(run.edge->peers);
   std::optional<transport::HttpResponse> failed_answer;
+  transport::AnswerMemory failed_answer_memory;
   std::optional<dispatch::QuarantineHit> quarantine;
   std::string code = "no_upstream";
   std::string reason;
@@ -235,6 +236,7 @@
     code = ToString(attempt.result);
     reason = std::move(attempt.reason);
     failed_answer = std::move(attempt.answer);
+    failed_answer_memory = std::move(attempt.answer_memory);
     if (!TryAcquireRetry(run, ran)) {
       break;
     }
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -113,6 +113,23 @@
   }
 }
 
+// Guards against requests that end with the process: an upstream sends a chunk header or a
+// trailer without end, in a plain answer or a stream. The request fails when the limit is
+// reached, long before its time is up.
+BOOST_AUTO_TEST_CASE(EndlessFramingBytesReachALimit) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string fill(8192, 'z');
+  for (const std::string start : {"1;a=", "0\r\nX-Fill: "}) {
+    for (const std::string target : {"/order/1", "/stream/1"}) {
+      EdgeFixture fixture;
+      fixture.AddUpstream({{head + start, Reply::Then::kClose, false, fill}, Sealed("good")});
+      BOOST_TEST(fixture.Call(target).value().status == 502, target << " " << start);
+      BOOST_TEST(fixture.Call("/order/2").value().body == "good");
+    }
+  }
+}
+
 // An upstream sends endless bytes that never complete a response, in the head or the body,
 // until the client closes the connection. The request fails once, the connection is closed,
 // and the next request is served. A response without a length ends with its connection.
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -15,6 +15,7 @@
 namespace detail {
 struct PoolState;
 struct Connection;
+class BufferedBytes;
 }  // namespace detail
 
 // Whether an exchange may use a connection that has served another one before.
@@ -30,7 +31,7 @@
 // answer was read to its end and nothing came after it.
 class HttpConnectionPool {
  public:
-  explicit HttpConnectionPool(boost::asio::any_io_executor executor);
+  explicit HttpConnectionPool(boost::asio::any_io_executor executor, ClientLimits limits = {});
 
   std::size_t IdleConnections() const;
   void CloseIdle();
@@ -40,6 +41,9 @@
   std::shared_ptr<detail::PoolState> state;
 };
 
+// Counts the memory of an answer against the limit of its pool while it is held.
+using AnswerMemory = std::shared_ptr<detail::BufferedBytes>;
+
 // One request and its answer on one connection.
 class HttpExchange {
  public:
@@ -60,6 +64,11 @@
   // The rest of the body, at most `max_bytes`.
   boost::asio::awaitable<Result<std::string>> ReadAll(std::size_t max_bytes);
 
+  // Sets the size of the answer in memory. Returns false if this exceeds the limit of the pool.
+  bool RecordBuffered(std::size_t bytes);
+  // Keeps the answer counted after the end of the exchange.
+  AnswerMemory Memory() const;
+
   // Closes the connection; a waiting call returns kCancelled.
   void Cancel();
   ExchangePhase Phase() const;
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -24,6 +24,9 @@
 
 constexpr std::size_t kReadChunkBytes = std::size_t{16} * 1024;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 32 * 1024;
+// Limit on bytes that the parser can't process yet. The parser limits only the head; a chunk
+// header or a trailer is buffered until it is complete.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} * 1024;
 // Shorter than the idle timeout of usual servers, so that they rarely close first.
 constexpr Duration kMaxIdleTime = std::chrono::seconds(20);
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
@@ -33,6 +36,7 @@
 constexpr double kKeepAliveFraction = 0.6;
 // Maximum number of unmatched answers skipped on one connection.
 constexpr int kMaxUnmatchedAnswers = 3;
+constexpr std::size_t kMaxUnmatchedBytes = std::size_t{4} << 20U;
 
 struct IdleConnection {
   Endpoint endpoint;
@@ -66,8 +70,13 @@
 }  // namespace
 
 struct PoolState {
+  PoolState(asio::any_io_executor io_executor, ClientLimits client_limits)
+      : executor(std::move(io_executor)), limits(client_limits) {}
+
   asio::any_io_executor executor;
+  ClientLimits limits;
   std::vector<IdleConnection> idle;
+  std::uint64_t buffered_bytes = 0;
 
   std::optional<Tcp::socket> Take(const Endpoint& endpoint) {
     const TimePoint now = RuntimeClock::now();
@@ -96,12 +105,34 @@
   }
 };
 
+class BufferedBytes {
+ public:
+  explicit BufferedBytes(std::shared_ptr<PoolState> pool_state) : pool(std::move(pool_state)) {}
+  BufferedBytes(const BufferedBytes&) = delete;
+  BufferedBytes& operator=(const BufferedBytes&) = delete;
+  ~BufferedBytes() { this->pool->buffered_bytes -= this->counted; }
+
+  // Returns false if all answers together exceed the limit. Small answers are always accepted.
+  bool Set(std::uint64_t bytes) {
+    const std::uint64_t previous = this->counted;
+    this->counted = bytes < this->pool->limits.min_counted_bytes ? 0 : bytes;
+    this->pool->buffered_bytes += this->counted - previous;
+    return this->counted <= previous ||
+           this->pool->buffered_bytes <= this->pool->limits.max_buffered_bytes;
+  }
+
+ private:
+  std::shared_ptr<PoolState> pool;
+  std::uint64_t counted = 0;
+};
+
 struct Connection {
   Connection(std::shared_ptr<PoolState> pool_state, Endpoint peer, ExchangeTimeouts phase_timeouts)
       : pool(std::move(pool_state)),
         endpoint(std::move(peer)),
         timeouts(phase_timeouts),
         socket(pool->executor),
+        buffered(std::make_shared<BufferedBytes>(pool)),
         deadline(pool->executor, socket),
         total_deadline(pool->executor, socket) {}
 
@@ -109,9 +140,10 @@
   Endpoint endpoint;
   ExchangeTimeouts timeouts;
   Tcp::socket socket;
+  AnswerMemory buffered;
   Deadline deadline;
   Deadline total_deadline;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::unique_ptr<http::response_parser<http::buffer_body>> parser;
   ExchangePhase phase = ExchangePhase::kNotStarted;
   bool pooled = false;
@@ -144,7 +176,8 @@
       code = TransportErrorCode::kTimedOut;
     } else if (failed_phase == ExchangePhase::kConnecting) {
       code = TransportErrorCode::kConnectFailed;
-    } else if (error == http::error::header_limit || error == http::error::body_limit) {
+    } else if (error == http::error::header_limit || error == http::error::body_limit ||
+               error == http::error::buffer_overflow) {
       code = TransportErrorCode::kMessageTooLarge;
     } else if (error.category() == make_error_code(http::error::bad_method).category() &&
                error != http::error::end_of_stream && error != http::error::partial_message) {
@@ -255,6 +288,7 @@
     co_return asio::error::operation_aborted;
   }
   std::array<char, kReadChunkBytes> chunk{};
+  std::size_t skipped = 0;
   while (!connection->parser->is_done()) {
     auto& body = connection->parser->get().body();
     body.data = chunk.data();
@@ -265,6 +299,10 @@
     if (error && error != http::error::need_buffer) {
       co_return error;
     }
+    skipped += bytes;
+    if (skipped > kMaxUnmatchedBytes) {
+      co_return http::error::body_limit;
+    }
   }
   co_return error_code();
 }
@@ -276,10 +314,8 @@
 namespace http = boost::beast::http;
 }  // namespace
 
-HttpConnectionPool::HttpConnectionPool(boost::asio::any_io_executor executor)
-    : state(std::make_shared<detail::PoolState>()) {
-  this->state->executor = std::move(executor);
-}
+HttpConnectionPool::HttpConnectionPool(boost::asio::any_io_executor executor, ClientLimits limits)
+    : state(std::make_shared<detail::PoolState>(std::move(executor), limits)) {}
 
 std::size_t HttpConnectionPool::IdleConnections() const {
   return this->state->idle.size();
@@ -320,6 +356,14 @@
   return this->connection->parser != nullptr && this->connection->parser->need_eof();
 }
 
+bool HttpExchange::RecordBuffered(std::size_t bytes) {
+  return this->connection->buffered->Set(bytes);
+}
+
+AnswerMemory HttpExchange::Memory() const {
+  return this->connection->buffered;
+}
+
 bool HttpExchange::UsedPooledConnection() const {
   return this->connection->pooled;
 }
@@ -401,10 +445,12 @@
       co_return body;
     }
     body += chunk.value();
-    if (body.size() > max_bytes) {
+    const bool is_too_large = body.size() > max_bytes;
+    if (is_too_large || !this->RecordBuffered(body.capacity())) {
       this->Cancel();
       co_return TransportError{TransportErrorCode::kMessageTooLarge, ExchangePhase::kReadingBody,
-                               "the answer is larger than the limit"};
+                               is_too_large ? "the answer is larger than the limit"
+                                            : "all answers in memory are larger than the limit"};
     }
   }
 }
--- a/src/transport/internal/http_server.cc
+++ b/src/transport/internal/http_server.cc
@@ -30,6 +30,8 @@
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 // Long enough for a caller on a slow network to finish a request of some megabytes.
 constexpr Duration kDiscardTime = std::chrono::seconds(1);
+// Size of a connection's buffer as a multiple of the largest request header.
+constexpr std::size_t kUnparsedHeaders = 2;
 constexpr std::size_t kDiscardChunkBytes = std::size_t{4} * 1024;
 
 struct RequestFailure {
@@ -41,8 +43,10 @@
 // The refusal that a request which can't be read gets, or empty when the
 // connection simply ended.
 std::optional<RequestFailure> DescribeReadFailure(const error_code& error) {
-  if (error == http::error::header_limit) {
-    return RequestFailure{431, "header_too_large", "the request header is larger than the limit"};
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    return RequestFailure{431, "header_too_large",
+                          "the request header, a chunk header or the trailer is larger than the "
+                          "limit"};
   }
   if (error == http::error::body_limit) {
     return RequestFailure{413, "body_too_large", "the request body is larger than the limit"};
@@ -93,7 +97,8 @@
   ServerSession(std::shared_ptr<ServerState> server_state, Tcp::socket accepted)
       : server(std::move(server_state)),
         socket(std::move(accepted)),
-        deadline(socket.get_executor(), socket) {
+        deadline(socket.get_executor(), socket),
+        buffer(kUnparsedHeaders * server->limits.max_header_bytes) {
     this->server->sessions.insert(this);
   }
   ServerSession(const ServerSession&) = delete;
@@ -112,6 +117,7 @@
   std::shared_ptr<ServerState> server;
   Tcp::socket socket;
   Deadline deadline;
+  // The parser limits only the header. Chunk headers and trailers are limited by the buffer.
   boost::beast::flat_buffer buffer;
   bool keep_alive = true;
   std::uint64_t buffered_body_bytes = 0;
--- a/src/transport/tests/http_test.cc
+++ b/src/transport/tests/http_test.cc
@@ -1,6 +1,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -75,6 +76,127 @@
   }
 }
 
+// Answers with `start` and then with `fill` until the client closes the connection.
+asio::awaitable<void> ServeEndless(asio::ip::tcp::acceptor& acceptor,
+                                   std::string start,
+                                   std::string fill) {
+  auto [error, socket] = co_await acceptor.async_accept(detail::kAwaitTuple);
+  std::size_t count = 0;
+  std::tie(error, count) =
+      co_await asio::async_write(socket, asio::buffer(start), detail::kAwaitTuple);
+  while (!error) {
+    std::tie(error, count) =
+        co_await asio::async_write(socket, asio::buffer(fill), detail::kAwaitTuple);
+  }
+}
+
+// Guards against an upstream whose bytes are kept until the process is out of memory: parts of
+// an answer that the parser passes on only when they are complete must have a limit.
+BOOST_FIXTURE_TEST_CASE(EndlessPartsOfAnAnswerReachALimit, Fixture) {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string zeros(std::size_t{64} * 1024, '0');
+  const std::string letters(std::size_t{64} * 1024, 'z');
+  struct Case {
+    std::string start;
+    std::string fill;
+  };
+  const std::vector<Case> cases{
+      {chunked + "1\r\na\r\n1;a=", letters},                  // chunk extension
+      {chunked + "1\r\na\r\n", zeros},                        // chunk size
+      {chunked + "0\r\nX-Fill: ", letters},                   // line of the trailer
+      {chunked + "0\r\n", "X-Fill: y\r\n"},                   // lines of the trailer
+      {"HTTP/1.1 200 ", letters},                             // status line
+      {"HTTP/1.1 103 Early Hints\r\nX-Fill: ", letters},      // interim head
+      {"", "HTTP/1.1 103 Early Hints\r\nX-Fill: y\r\n\r\n"},  // interim heads
+      {"HTTP/1.1 200 OK\r\nX-Late: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "10000\r\n" + letters + "\r\n"},  // unmatched body
+  };
+  this->Run([](const std::vector<Case>& parts, Fixture& fixture) -> asio::awaitable<void> {
+    for (const Case& part : parts) {
+      asio::ip::tcp::acceptor acceptor(fixture.io, {asio::ip::make_address("127.0.0.1"), 0});
+      const Endpoint upstream("127.0.0.1", acceptor.local_endpoint().port());
+      asio::co_spawn(fixture.io, ServeEndless(acceptor, part.start, part.fill), asio::detached);
+      ExchangeTimeouts timeouts;
+      timeouts.total = std::chrono::seconds(2);
+      HttpExchange exchange(fixture.pool, upstream, timeouts);
+      exchange.SkipUnmatchedAnswers([](const HttpResponse& head) {
+        return head.status == 200 && FindHeader(head.headers, "X-Late").empty();
+      });
+      const auto head = co_await exchange.Start(HttpRequest("GET", "/"), ConnectionPolicy::kFresh);
+      std::optional<TransportError> failure;
+      if (!head) {
+        failure = head.error();
+      } else if (const auto body = co_await exchange.ReadAll(kMaxBody); !body) {
+        failure = body.error();
+      }
+      BOOST_REQUIRE(failure.has_value());
+      BOOST_TEST((failure->code != TransportErrorCode::kTimedOut),
+                 part.start << ": " << failure->message);
+    }
+  }(cases, *this));
+}
+
+// Guards against many answers below the limit of one that together exhaust the memory of the
+// process. Small answers are still read.
+BOOST_FIXTURE_TEST_CASE(LargeAnswersTogetherReachTheLimitOfThePool, Fixture) {
+  constexpr std::size_t kLarge = 200'000;
+  constexpr int kAnswers = 10;
+  this->pool = HttpConnectionPool(this->io.get_executor(),
+                                  {.max_buffered_bytes = 5 * kLarge, .min_counted_bytes = 10'000});
+  this->Serve([](HttpRequest request, HttpResponder& responder) -> asio::awaitable<void> {
+    HttpResponse response;
+    response.body.assign(request.target == "/small" ? 5'000 : kLarge, 'x');
+    co_await responder.Send(std::move(response));
+  });
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    std::vector<std::unique_ptr<HttpExchange>> held;
+    int whole = 0;
+    for (int index = 0; index < kAnswers; ++index) {
+      held.push_back(
+          std::make_unique<HttpExchange>(fixture.pool, fixture.endpoint, ExchangeTimeouts{}));
+      const auto head =
+          co_await held.back()->Start(HttpRequest("GET", "/large"), ConnectionPolicy::kReuse);
+      BOOST_REQUIRE(head.has_value());
+      const auto body = co_await held.back()->ReadAll(kMaxBody);
+      whole += body ? 1 : 0;
+      BOOST_TEST((body || body.error().code == TransportErrorCode::kMessageTooLarge));
+    }
+    BOOST_TEST(whole > 0);
+    BOOST_TEST(whole <= 5);
+    const auto small = co_await Fetch(fixture.pool, fixture.endpoint, HttpRequest("GET", "/small"),
+                                      ExchangeTimeouts{}, kMaxBody);
+    BOOST_TEST(small.has_value());
+    held.clear();
+    const auto large = co_await Fetch(fixture.pool, fixture.endpoint, HttpRequest("GET", "/large"),
+                                      ExchangeTimeouts{}, kMaxBody);
+    BOOST_TEST(large.has_value());
+  }(*this));
+}
+
+// The same for a caller: a chunk header and a trailer without end are refused.
+BOOST_FIXTURE_TEST_CASE(EndlessPartsOfARequestAreRefused, Fixture) {
+  this->Serve(Echo, {.max_header_bytes = 2048, .max_body_bytes = 1024});
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    static constexpr std::array<std::string_view, 2> kStarts{"1;a=", "0\r\nX-Fill: "};
+    for (const std::string_view start : kStarts) {
+      asio::ip::tcp::socket socket(fixture.io);
+      co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), fixture.endpoint.port},
+                                    detail::kAwaitTuple);
+      std::string bytes = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+      bytes.append(start).append(16'000, 'z');
+      co_await asio::async_write(socket, asio::buffer(bytes), detail::kAwaitTuple);
+      detail::Deadline deadline(fixture.io.get_executor(), socket);
+      deadline.Arm(std::chrono::seconds(2));
+      std::array<char, 12> status{};
+      const auto [error, count] =
+          co_await asio::async_read(socket, asio::buffer(status), detail::kAwaitTuple);
+      deadline.Disarm();
+      BOOST_TEST(!error);
+      BOOST_TEST(std::string_view(status.data(), status.size()) == "HTTP/1.1 431");
+    }
+  }(*this));
+}
+
 // Guards against a store or a peer that holds its caller by a byte now and then.
 BOOST_FIXTURE_TEST_CASE(AnAnswerThatOnlyDripsEndsAtTheWholeLimit, Fixture) {
   asio::ip::tcp::acceptor acceptor(this->io, {asio::ip::make_address("127.0.0.1"), 0});
--- a/src/transport/transport_types.h
+++ b/src/transport/transport_types.h
@@ -121,6 +121,14 @@
   Duration write_timeout = std::chrono::seconds(20);
 };
 
+// Limits on the memory that the answers of a connection pool's exchanges take.
+struct ClientLimits {
+  // Limit over all answers that are being read or delivered.
+  std::uint64_t max_buffered_bytes = std::uint64_t{32} << 20U;
+  // Smaller answers don't count, so that large ones can't displace them.
+  std::uint64_t min_counted_bytes = std::uint64_t{64} * 1024;
+};
+
 // Progress timeouts of one exchange: each phase must advance within its time.
 struct ExchangeTimeouts {
   Duration connect = std::chrono::milliseconds(500);
