edge: peers decide on a stream's version before one instance's listings

What callers would see: a stream whose first part is from one software version and the rest from another (ORDER), when it is taken up at an instance that was cut off or stood still while the other version joined.

Cause: FindStreamVersion trusted that one version is listed before it asked the peers that store the stream's origin, and listings count as complete for configMs after their last confirmation.

Ruled out: that the datagram with the origin covers it; an instance that is cut off misses it.

Fix: the stream's holders are asked first. Without their answers, one listed version decides only when the store confirms the listings after the take-up came; else it is refused, not run, to return.

--- a/src/edge/internal/stream_resumption.cc
+++ b/src/edge/internal/stream_resumption.cc
@@ -1,5 +1,7 @@
 #include "edge/internal/stream_resumption.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 
 #include "edge/internal/peer_codec.h"
@@ -19,6 +21,8 @@
 constexpr std::size_t kMaxAnswerBytes = 64;
 // Time between the end of a stream and its take-up, beyond the timeout of the route.
 constexpr Duration kTakeUpTime = std::chrono::seconds(2);
+// Interval between checks whether the store has confirmed the listings.
+constexpr Duration kConfirmationCheckInterval = std::chrono::milliseconds(20);
 // The caller may try again when peers that didn't answer are back.
 constexpr Duration kLookupRetryAfter = std::chrono::milliseconds(300);
 
@@ -47,7 +51,8 @@
 struct Lookup {
   std::optional<std::uint64_t> version;
   std::string source;
-  // Peers that store the origin but gave no answer.
+  // Peers that store the origin, and those of them that gave no answer.
+  std::size_t holders = 0;
   std::size_t silent = 0;
 };
 
@@ -62,6 +67,7 @@
     timeouts.total = kLookupTimeout;
     auto response = co_await transport::Fetch(edge.connections, std::move(endpoint),
                                               std::move(request), timeouts, kMaxAnswerBytes);
+    ++lookup.holders;
     lookup.silent += response ? 0 : 1;
     if (response && response.value().status == 200) {
       lookup.version = ParseHexadecimal(response.value().body);
@@ -74,6 +80,40 @@
   co_return lookup;
 }
 
+std::optional<std::uint64_t> FindOnlyVersion(const RequestRun& run) {
+  const EdgeState& edge = *run.edge;
+  return dispatch::OnlyVersion(edge.upstreams, run.service.name, run.route.timeout + kTakeUpTime,
+                               edge.listings_followed_since, RuntimeClock::now());
+}
+
+// Waits until the listings are known to contain all that was in the store when the request
+// came. Returns false if they are not confirmed within the regular time.
+asio::awaitable<bool> AwaitConfirmation(RequestRun& run) {
+  const EdgeState& edge = *run.edge;
+  const TimePoint wait_until = run.started + edge.freshness.settings.bound / 2;
+  RuntimeTimer timer(run.edge->io);
+  while (edge.freshness.confirmed_at.value_or(TimePoint::min()) < run.started) {
+    if (run.stopped != StopReason::kNone || RuntimeClock::now() >= wait_until) {
+      co_return false;
+    }
+    timer.expires_after(kConfirmationCheckInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return true;
+}
+
+// Returns the version of a stream whose origin is unknown, if only one can have begun it. When
+// all peers that would know the stream say that they don't, it didn't begin just now, and the
+// listings may be a little out of date.
+asio::awaitable<std::optional<std::uint64_t>> InferVersion(RequestRun& run, const Lookup& lookup) {
+  const bool is_denied = lookup.holders > 0 && lookup.silent == 0;
+  if (is_denied || !FindOnlyVersion(run)) {
+    co_return FindOnlyVersion(run);
+  }
+  const bool is_confirmed = co_await AwaitConfirmation(run);
+  co_return is_confirmed ? FindOnlyVersion(run) : std::nullopt;
+}
+
 }  // namespace
 
 void RecordStreamBegin(RequestRun& run, const dispatch::Upstream& upstream) {
@@ -88,33 +128,34 @@
 
 asio::awaitable<std::optional<Refusal>> FindStreamVersion(RequestRun& run) {
   EdgeState& edge = *run.edge;
-  const TimePoint now = RuntimeClock::now();
   const std::uint64_t stream = dispatch::StreamKey(OriginId(run.request));
   Lookup lookup{dispatch::FindOrigin(edge.origins, stream), "own"};
-  if (!lookup.version) {
-    lookup.version =
-        dispatch::OnlyVersion(edge.upstreams, run.service.name, run.route.timeout + kTakeUpTime,
-                              edge.listings_followed_since, now);
-    lookup.source = "only_version";
-  }
+  // An instance that was cut off or stood still may not know all versions, so peers come first.
   if (!lookup.version && !run.request.resumes.empty()) {
     lookup = co_await AskHolders(run, stream);
   }
+  if (!lookup.version) {
+    lookup.version = co_await InferVersion(run, lookup);
+    lookup.source = "only_version";
+  }
   LogEvent(LogLevel::kInfo, "stream_taken_up",
            {{"request_id", run.request.id},
             {"resumes", run.request.resumes},
             {"after_event", run.request.last_event_id.value_or(0)},
             {"version", lookup.version ? Hexadecimal(*lookup.version) : ""},
             {"source", lookup.version ? lookup.source : "none"},
-            {"silent_peers", lookup.silent}});
+            {"holders", lookup.holders},
+            {"silent_peers", lookup.silent},
+            {"elapsed_ms", Milliseconds(RuntimeClock::now() - run.started)}});
   run.stream_version = lookup.version;
   if (lookup.version) {
     StoreOrigin(edge, stream, *lookup.version);
     co_return std::nullopt;
   }
+  const bool may_be_known_soon = lookup.silent > 0 || FindOnlyVersion(run);
   co_return Refusal{503, "stream_version_unknown",
                     "the version of the upstream at which the stream began is not known",
-                    RunState::kNotRun, lookup.silent > 0 ? kLookupRetryAfter : Duration{0}};
+                    RunState::kNotRun, may_be_known_soon ? kLookupRetryAfter : Duration{0}};
 }
 
 void UpdateListingsFollowed(EdgeState& edge) {
--- a/src/edge/tests/edge_resume_test.cc
+++ b/src/edge/tests/edge_resume_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 
+#include "common/runtime_timer.h"
 #include "edge/tests/edge_fixture.h"
 
 // Streams that break off while upstreams of two software versions serve.
@@ -20,6 +21,30 @@
         .value();
   }
 
+  // Lets time pass while the store confirms the listings of all instances.
+  void PassConfirmed(Duration time) {
+    constexpr Duration kStep = 100ms;
+    const ScopedPausedClock paused;
+    // Timers that were set before look at the paused clock only when they fire.
+    this->RunFor(300ms);
+    for (Duration passed{0}; passed < time; passed += kStep) {
+      RuntimeClock::Advance(kStep);
+      this->edge->OnFeedConfirmed(RuntimeClock::now());
+      for (const auto& other : this->other_instances) {
+        other->OnFeedConfirmed(RuntimeClock::now());
+      }
+      this->RunFor(2ms);
+    }
+  }
+
+  // Adds an instance that lists one upstream, and no other change up to the newest revision.
+  void AddInstanceOutOfStep(const std::string& upstream, const std::string& version) {
+    this->AddInstance("127.0.0.2");
+    this->other_instances.back()->OnPublishedChanges(
+        {{"config", "", this->revision - 1}, {"u9", upstream + " " + version, this->revision}},
+        {this->era, this->revision});
+  }
+
   // Calls, and gets a stream that breaks off. Returns the id of the request.
   std::string BreakOff() {
     const auto answer = this->Call("/resume/1", {{"X-Id", "first"}});
@@ -97,6 +122,46 @@
   BOOST_TEST(other.requests.empty());
 }
 
+// Guards against an instance that was cut off or stood still while upstreams of another version
+// joined: its listings have one version only, but peers know where the stream began.
+BOOST_FIXTURE_TEST_CASE(PeersDecideBeforeTheListingsOfOneInstance, Fixture) {
+  RawUpstream old(this->io, {Events(1, 2)});
+  this->AddUpstream({Events(0, 0, false)}, "v2");
+  const std::string stream = this->BreakOff();
+  this->AddInstanceOutOfStep(old.Address(), "v1");
+  this->PassConfirmed(11s);
+  this->current = 1;
+  const auto refused = this->TakeUp(stream);
+  BOOST_TEST(old.requests.empty());
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(FindHeader(refused.headers, "X-Ran") == "no");
+}
+
+// The same while the instance reaches neither peers nor the store. Listings that were complete
+// a moment ago may lack the version that began the stream.
+BOOST_FIXTURE_TEST_CASE(ListingsWithoutANewConfirmationDecideNothing, Fixture) {
+  RawUpstream& upstream = this->AddUpstream({Events(1, 2)}, "v1");
+  this->PassConfirmed(11s);
+  const auto refused = this->TakeUp("unknown");
+  BOOST_TEST(upstream.requests.empty());
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(FindHeader(refused.headers, "X-Ran") == "no");
+  BOOST_TEST(FindHeader(refused.headers, "X-Retry-After-Ms") != "");
+}
+
+// Listings that the store confirms after the take-up are complete, so the only version in them
+// is that of the stream.
+BOOST_FIXTURE_TEST_CASE(ConfirmedListingsOfOneVersionDecide, Fixture) {
+  RawUpstream& upstream = this->AddUpstream({Events(1, 2)}, "v1");
+  this->PassConfirmed(11s);
+  RuntimeTimer timer(this->io, 50ms);
+  timer.async_wait([this](const boost::system::error_code&) {
+    this->edge->OnFeedConfirmed(RuntimeClock::now());
+  });
+  BOOST_TEST(this->TakeUp("unknown").status == 200);
+  BOOST_TEST(upstream.requests.size() == 1U);
+}
+
 // A stream that has not begun may begin at any version, also after a failed attempt.
 BOOST_FIXTURE_TEST_CASE(AnAttemptWithoutAnEventLeavesTheChoiceOfTheVersion, Fixture) {
   this->AddUpstream({test::NotRun()}, "v1");
