platform, edge: "not run" only where an upstream states it

A sealed 408, 421, 429 or 503 without a statement was passed on as it was.

Ruled out by reading: a failed write and a deadline before the first byte, which count as possibly run.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -1,6 +1,7 @@
 #include "edge/internal/attempt.h"
 
 #include <algorithm>
+#include <array>
 
 #include "dispatch/named_limits.h"
 #include "edge/internal/crash_watch.h"
@@ -37,6 +38,8 @@
 // A request that crashes its upstream does so within this time after its first event.
 constexpr Duration kCrashTime = std::chrono::seconds(1);
 constexpr std::string_view kCallerGone = "caller_gone";
+// Statuses that tell a caller that a non-repeatable request did not run.
+constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
 
 transport::ExchangeTimeouts TimeoutsOf(const RequestRun& run) {
   const Duration remaining = Remaining(run);
@@ -268,6 +271,13 @@
     attempt.reason = answer.has_content_encoding ? "answer_was_encoded" : "answer_without_seal";
     co_return attempt;
   }
+  if (run.route.repeatability == dispatch::Repeatability::kNonRepeatable &&
+      std::ranges::find(kNotRunStatuses, head.status) != kNotRunStatuses.end()) {
+    dispatch::RecordAttemptFailure(upstream.health, now);
+    attempt.result = AttemptResult::kOutcomeUnknown;
+    attempt.reason = "status_" + std::to_string(head.status) + "_without_statement";
+    co_return attempt;
+  }
   if (run.stream_started) {
     // The caller already has the head and some events of another answer.
     dispatch::RecordAttemptFailure(upstream.health, now);
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -83,6 +83,19 @@
   BOOST_TEST(FindHeader(unmarked.headers, "X-Ran") == "unknown");
 }
 
+// Guards against a status that promises that nothing ran, passed on for an order that may have
+// run: the upstream gave the status without the statement.
+BOOST_AUTO_TEST_CASE(AStatusAloneNeverTellsACallerThatAnOrderDidNotRun) {
+  for (const int status : {408, 421, 429, 503}) {
+    EdgeFixture fixture;
+    RawUpstream& upstream = fixture.AddUpstream({Sealed("ran", status)});
+    const auto answer = fixture.Call("/order/1").value();
+    BOOST_TEST(answer.status == 502, status);
+    BOOST_TEST(FindHeader(answer.headers, "X-Ran") == "unknown");
+    BOOST_TEST(upstream.requests.size() == 1U);
+  }
+}
+
 // Guards against corrupted responses of a faulty upstream.
 BOOST_AUTO_TEST_CASE(DamagedAnswersNeverLookLikeSuccess) {
   for (const std::string bytes :
