edge: a start waits for a port that is in use

Cause: Edge::Start opened each port once, and an error ended the process with code 4. A socket of an ended process, or a lingering connection whose local port is ours, is enough. SIGHUP before the handler was set ended it too, and the handler was set after the start.

Fix: all ports are opened again every 50 ms for 70 s while one is in use, the callers' port last. Signals are handled before the start.

--- a/apps/geranium_edge/main.cc
+++ b/apps/geranium_edge/main.cc
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <functional>
 #include <iostream>
+#include <utility>
 
 #include "common/runtime_timer.h"
 #include "edge/edge.h"
@@ -32,6 +33,9 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitBadSettings = 3;
 constexpr int kExitCannotStart = 4;
+// Ports of an ended process and its connections are free again within this time.
+constexpr geraniumspread::Duration kMaxStartTime = std::chrono::seconds(70);
+constexpr geraniumspread::Duration kStartRetryInterval = std::chrono::milliseconds(50);
 // The settings may change without a signal.
 constexpr geraniumspread::Duration kSettingsCheckInterval = std::chrono::seconds(1);
 
@@ -53,6 +57,7 @@
         edge(io, settings, geraniumspread::platform::MakeCodec()),
         signals(io, SIGTERM, SIGINT, SIGHUP),
         check_timer(io),
+        start_until(geraniumspread::RuntimeClock::now() + kMaxStartTime),
         changed_at(ChangeTime(path)) {}
 
   std::string path;
@@ -60,6 +65,10 @@
   Edge edge;
   boost::asio::signal_set signals;
   geraniumspread::RuntimeTimer check_timer;
+  geraniumspread::TimePoint start_until;
+  bool started = false;
+  bool start_delayed = false;
+  int exit_code = 0;
   std::filesystem::file_time_type changed_at;
 };
 
@@ -83,6 +92,8 @@
     LogEvent(LogLevel::kInfo, "signal", {{"number", signal}});
     if (signal == SIGHUP) {
       Reload(program);
+    } else if (!program.started) {
+      program.io.stop();
     } else {
       program.edge.Stop([&program] { program.io.stop(); });
     }
@@ -126,29 +137,57 @@
   return callbacks;
 }
 
-int Run(const std::string& path, const EdgeSettings& settings) {
-  Program program(path, settings);
-  if (const auto started = program.edge.Start(); !started) {
-    LogEvent(LogLevel::kError, "start_failed", {{"reason", started.error().message}});
-    return kExitCannotStart;
-  }
+void RunStarted(Program& program, const EdgeSettings& settings) {
+  program.started = true;
   LogEvent(LogLevel::kInfo, "started",
            {{"failure_domain", settings.failure_domain},
             {"address", settings.address},
             {"seeds", settings.seed_addresses.size()}});
-  HandleSignals(program);
   WatchSettings(program);
   boost::asio::co_spawn(program.io,
                         geraniumspread::platform::FollowStore(program.io, settings.store_endpoint,
                                                               MakeStoreCallbacks(program.edge)),
                         boost::asio::detached);
+}
+
+// Starts the instance, and tries again while a port is in use.
+void Start(Program& program, const EdgeSettings& settings) {
+  const auto started = program.edge.Start();
+  if (started) {
+    RunStarted(program, settings);
+    return;
+  }
+  if (!started.error().is_port_in_use ||
+      geraniumspread::RuntimeClock::now() >= program.start_until) {
+    LogEvent(LogLevel::kError, "start_failed", {{"reason", started.error().message}});
+    program.exit_code = kExitCannotStart;
+    program.io.stop();
+    return;
+  }
+  if (!std::exchange(program.start_delayed, true)) {
+    LogEvent(LogLevel::kWarn, "start_delayed", {{"reason", started.error().message}});
+  }
+  program.check_timer.expires_after(kStartRetryInterval);
+  program.check_timer.async_wait([&program, &settings](const boost::system::error_code& error) {
+    if (!error) {
+      Start(program, settings);
+    }
+  });
+}
+
+int Run(const std::string& path, const EdgeSettings& settings) {
+  Program program(path, settings);
+  HandleSignals(program);
+  Start(program, settings);
   program.io.run();
-  return 0;
+  return program.exit_code;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Until the handler is set, SIGHUP would end the process.
+  std::signal(SIGHUP, SIG_IGN);
   gflags::SetUsageMessage(kUsage);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (argc > 1) {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -16,6 +16,8 @@
 
 struct EdgeError {
   std::string message;
+  // A port is in use; a later start may succeed.
+  bool is_port_in_use = false;
 };
 
 // One HTTP router instance. Sends each caller's request directly to an upstream.
@@ -28,6 +30,7 @@
   Edge& operator=(const Edge&) = delete;
   ~Edge();
 
+  // Opens all ports. After an error none is open, and Start may be called again.
   ResultOf<void, EdgeError> Start();
   // Applies the settings that can change at run time: seed addresses, selection, retry
   // budget, freshness, the minimum store outage and the grace period.
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -158,7 +158,8 @@
         return serve(edge, std::move(request), responder);
       });
   if (const auto port = server->Listen(endpoint); !port) {
-    return EdgeError{port.error().message};
+    return EdgeError{port.error().message,
+                     port.error().code == transport::TransportErrorCode::kAddressInUse};
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -176,11 +177,44 @@
     edge.digest_socket.non_blocking(true, error);
   }
   if (error) {
-    return EdgeError{"the digest port can't be opened: " + error.message()};
+    return EdgeError{"the digest port can't be opened: " + error.message(),
+                     error == asio::error::address_in_use};
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+// Opens the callers' port after those for peers and operators, so that no caller is accepted
+// before the others are known to be free.
+ResultOf<void, EdgeError> OpenPorts(const Edge& edge) {
+  const EdgeSettings& settings = edge->settings;
+  if (auto result = OpenDigestSocket(*edge); !result) {
+    return result;
+  }
+  if (auto result = Listen(edge, edge->peer_server, settings.peer_endpoint, ServePeerState);
+      !result) {
+    return result;
+  }
+  if (auto result = Listen(edge, edge->metrics_server, settings.metrics_endpoint, ServeMetrics);
+      !result) {
+    return result;
+  }
+  if (auto result =
+          Listen(edge, edge->readiness_server, settings.readiness_endpoint, ServeReadiness);
+      !result) {
+    return result;
+  }
+  return Listen(edge, edge->caller_server, settings.caller_endpoint, HandleCaller);
+}
+
+void ClosePorts(EdgeState& edge) {
+  boost::system::error_code ignored;
+  edge.digest_socket.close(ignored);
+  edge.peer_server.reset();
+  edge.metrics_server.reset();
+  edge.readiness_server.reset();
+  edge.caller_server.reset();
+}
+
 }  // namespace
 }  // namespace detail
 
@@ -212,14 +246,8 @@
 Edge::~Edge() = default;
 
 ResultOf<void, EdgeError> Edge::Start() {
-  const EdgeSettings& settings = this->state->settings;
-  using detail::Listen;
-  if (auto result = detail::OpenDigestSocket(*this->state); !result) {
-    return result;
-  }
-  if (auto result = Listen(this->state, this->state->caller_server, settings.caller_endpoint,
-                           detail::HandleCaller);
-      !result) {
+  if (auto result = detail::OpenPorts(this->state); !result) {
+    detail::ClosePorts(*this->state);
     return result;
   }
   this->state->caller_server->OnUnreadable(
@@ -228,21 +256,6 @@
           detail::RecordUnreadableRequest(*current, request);
         }
       });
-  if (auto result = Listen(this->state, this->state->readiness_server, settings.readiness_endpoint,
-                           detail::ServeReadiness);
-      !result) {
-    return result;
-  }
-  if (auto result = Listen(this->state, this->state->peer_server, settings.peer_endpoint,
-                           detail::ServePeerState);
-      !result) {
-    return result;
-  }
-  if (auto result = Listen(this->state, this->state->metrics_server, settings.metrics_endpoint,
-                           detail::ServeMetrics);
-      !result) {
-    return result;
-  }
   boost::asio::co_spawn(this->state->io, detail::ReceiveDigests(this->state),
                         boost::asio::detached);
   detail::SendDigests(*this->state);
--- a/src/transport/internal/http_common.cc
+++ b/src/transport/internal/http_common.cc
@@ -23,8 +23,11 @@
   if (error) {
     boost::system::error_code ignored;
     acceptor.close(ignored);
-    return TransportError{TransportErrorCode::kAddressInUse, ExchangePhase::kNotStarted,
-                          "can't listen on " + ToString(endpoint) + ": " + error.message()};
+    const bool is_in_use = error == boost::asio::error::address_in_use;
+    return TransportError{
+        is_in_use ? TransportErrorCode::kAddressInUse : TransportErrorCode::kInvalidAddress,
+        ExchangePhase::kNotStarted,
+        "can't listen on " + ToString(endpoint) + ": " + error.message()};
   }
   return acceptor.local_endpoint(error).port();
 }
