edge: keep a stream as long as its caller waits

Cause: TimeoutsOf took the pause goal alone.

Ruled out: that the caller has left by then; it still waits in the test.

Fix: a stream that can't continue elsewhere is kept for the longest of the three times that callers use. One that can is left as before.

Evidence: AStreamMayPauseAsLongAsItsCallerWaits failed before (cut after 2 s).

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -28,8 +28,10 @@
 // it fails over to another upstream.
 constexpr int kFirstByteTimeoutFactor = 3;
 constexpr Duration kMinFirstByteTimeout = std::chrono::milliseconds(300);
-// Callers abandon a stream after a pause of this multiple of its pause goal.
+// Callers abandon a stream after a pause of these multiples of its pause goal and its latency
+// goal, whichever is longer.
 constexpr int kEventTimeoutFactor = 8;
+constexpr int kEventTimeoutLatencyFactor = 4;
 constexpr Duration kMinEventTimeout = std::chrono::seconds(2);
 // A pooled connection may be dead without this being noticed. A non-repeatable request
 // opens a new connection unless data arrived from the upstream this recently.
@@ -41,6 +43,14 @@
 // Statuses that tell a caller that a non-repeatable request did not run.
 constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
 
+// Returns the longest pause between events. A stream that can't continue elsewhere is kept as
+// long as its caller waits.
+Duration EventTimeout(const RequestRun& run) {
+  const Duration pause = std::max(kMinEventTimeout, run.route.pause_goal * kEventTimeoutFactor);
+  return CanFailOver(run) ? pause
+                          : std::max(pause, run.route.latency_goal * kEventTimeoutLatencyFactor);
+}
+
 transport::ExchangeTimeouts TimeoutsOf(const RequestRun& run) {
   const Duration remaining = Remaining(run);
   transport::ExchangeTimeouts timeouts;
@@ -52,8 +62,7 @@
         std::min(remaining,
                  std::max(kMinFirstByteTimeout, run.route.latency_goal * kFirstByteTimeoutFactor));
   }
-  timeouts.between_bytes =
-      std::min(remaining, std::max(kMinEventTimeout, run.route.pause_goal * kEventTimeoutFactor));
+  timeouts.between_bytes = std::min(remaining, EventTimeout(run));
   return timeouts;
 }
 
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -124,8 +124,9 @@
   route.repeatability = repeatability;
   route.is_stream = prefix.starts_with("/stream") || prefix.starts_with("/resume");
   route.is_public = prefix == "/open/";
-  route.timeout = std::chrono::seconds(prefix == "/resume/" ? 8 : 2);
-  route.latency_goal = std::chrono::milliseconds(100);
+  const bool is_long = prefix == "/resume/" || prefix == "/stream/slow/";
+  route.timeout = std::chrono::seconds(is_long ? 8 : 2);
+  route.latency_goal = std::chrono::milliseconds(prefix == "/stream/slow/" ? 700 : 100);
   route.pause_goal = std::chrono::milliseconds(100);
   // Leaves a second attempt, so that only the outcome of the first one can rule it out.
   route.max_attempts = 2;
@@ -155,6 +156,7 @@
           std::pair("/order/", Repeatability::kNonRepeatable),
           std::pair("/open/", Repeatability::kNonRepeatable),
           std::pair("/stream/", Repeatability::kNonRepeatable),
+          std::pair("/stream/slow/", Repeatability::kNonRepeatable),
           std::pair("/resume/", Repeatability::kResumable)}) {
       config.routes["127.0.0.1"][prefix] = MakeRoute(prefix, repeatability);
     }
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -1,5 +1,7 @@
 #include "edge/edge.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
@@ -208,6 +210,29 @@
   BOOST_TEST(body.find('x') == std::string::npos);
 }
 
+// Guards against a sound stream that is cut while its caller still waits: callers of a route
+// with a high latency goal wait longer than the pause goal alone tells.
+BOOST_AUTO_TEST_CASE(AStreamMayPauseAsLongAsItsCallerWaits) {
+  EdgeFixture fixture;
+  Reply slow = Events(0, 0, false);
+  slow.then = Reply::Then::kClose;
+  slow.endless = "9\r\ndata: x\n\n\r\n";
+  slow.pause = 2400ms;
+  RawUpstream& upstream = fixture.AddUpstream({slow});
+  bool has_ended = false;
+  const auto call = [&]() -> boost::asio::awaitable<void> {
+    transport::HttpConnectionPool pool(fixture.io.get_executor());
+    transport::HttpRequest request("POST", "/stream/slow/1", {{"X-Id", "slow"}, {"X-Key", "key"}});
+    std::ignore = co_await transport::Fetch(pool, fixture.caller_endpoints[0], std::move(request),
+                                            transport::ExchangeTimeouts{}, 1 << 20);
+    has_ended = true;
+  };
+  boost::asio::co_spawn(fixture.io, call(), boost::asio::detached);
+  fixture.RunFor(2600ms);
+  BOOST_TEST(upstream.requests.size() == 1U);
+  BOOST_TEST(!has_ended);
+}
+
 BOOST_AUTO_TEST_CASE(AResponseWithoutALengthIsCompleteWhenTheConnectionCloses) {
   const std::string bytes = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: s\r\n\r\nwhole";
   EdgeFixture fixture;
