tests: simpler routes of the fixture, and cases that the linter accepts

Cause: two more conditions in MakeRoute let clang-tidy's flow analysis of edge_fixture.cc run for over six minutes without an end. All checks are as before.

--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -124,9 +124,8 @@
   route.repeatability = repeatability;
   route.is_stream = prefix.starts_with("/stream") || prefix.starts_with("/resume");
   route.is_public = prefix == "/open/";
-  const bool is_long = prefix == "/resume/" || prefix == "/stream/slow/";
-  route.timeout = std::chrono::seconds(is_long ? 8 : 2);
-  route.latency_goal = std::chrono::milliseconds(prefix == "/stream/slow/" ? 700 : 100);
+  route.timeout = std::chrono::seconds(prefix == "/resume/" ? 8 : 2);
+  route.latency_goal = std::chrono::milliseconds(100);
   route.pause_goal = std::chrono::milliseconds(100);
   // Leaves a second attempt, so that only the outcome of the first one can rule it out.
   route.max_attempts = 2;
@@ -134,6 +133,14 @@
   return route;
 }
 
+// A stream whose callers wait longer than two seconds for an event.
+dispatch::Route MakeSlowStream() {
+  dispatch::Route route = MakeRoute("/stream/slow/", dispatch::Repeatability::kNonRepeatable);
+  route.timeout = std::chrono::seconds(8);
+  route.latency_goal = std::chrono::milliseconds(700);
+  return route;
+}
+
 // The value of the configuration is its version, or empty.
 std::optional<std::uint64_t> StatedVersion(const dispatch::PublishedItem& item) {
   std::uint64_t version = 0;
@@ -156,10 +163,10 @@
           std::pair("/order/", Repeatability::kNonRepeatable),
           std::pair("/open/", Repeatability::kNonRepeatable),
           std::pair("/stream/", Repeatability::kNonRepeatable),
-          std::pair("/stream/slow/", Repeatability::kNonRepeatable),
           std::pair("/resume/", Repeatability::kResumable)}) {
       config.routes["127.0.0.1"][prefix] = MakeRoute(prefix, repeatability);
     }
+    config.routes["127.0.0.1"]["/stream/slow/"] = MakeSlowStream();
     config.services["app"].name = "app";
     config.keys["key"] = {"blue", std::nullopt};
     config.keys["s3cret-key"] = {"blue", std::nullopt};
