dispatch: a lost version stays in effect when an older one is written again

Cause: any write of the key ended the retention of the lost change, also one with a lower stated version. Versions were compared only for the items of the first read after a restore.

Now such a write only becomes what the store is known to hold. It takes effect if nothing newer is written before the retention ends.

--- a/src/dispatch/internal/published_state.cc
+++ b/src/dispatch/internal/published_state.cc
@@ -31,6 +31,11 @@
       return false;
     }
   }
+  if (IsOlderThanRetained(state, item)) {
+    known->second.revision = item.revision;
+    state.retained[item.key].restored = item;
+    return false;
+  }
   if (known != state.items.end()) {
     RecordSuperseded(state, known->second, {state.position.era, item.revision});
   }
--- a/src/dispatch/internal/store_restore.cc
+++ b/src/dispatch/internal/store_restore.cc
@@ -231,6 +231,14 @@
   }
 }
 
+bool IsOlderThanRetained(const PublishedState& state, const PublishedItem& item) {
+  const auto retained = state.retained.find(item.key);
+  const auto in_effect = state.items.find(item.key);
+  return retained != state.retained.end() && !retained->second.ended && !item.removed &&
+         in_effect != state.items.end() &&
+         HasLowerVersion(state.restore_rules, item, in_effect->second);
+}
+
 std::vector<PublishedItem> EndRetentions(PublishedState& state, TimePoint now) {
   std::vector<PublishedItem> changes;
   for (auto& [key, retained] : state.retained) {
--- a/src/dispatch/store_restore.h
+++ b/src/dispatch/store_restore.h
@@ -37,6 +37,9 @@
                                     TimePoint now);
 // Records that a change replaces or removes `item`.
 void RecordSuperseded(PublishedState& state, const PublishedItem& item, StorePosition replaced_at);
+// True if `item` is written with a lower version than the lost change that is retained for its
+// key, as when the writer repeats its lost changes in order. The lost change then stays in effect.
+bool IsOlderThanRetained(const PublishedState& state, const PublishedItem& item);
 // Ends retentions whose time is over. Returns the changes of the items in effect.
 std::vector<PublishedItem> EndRetentions(PublishedState& state, TimePoint now);
 
