--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -10,6 +10,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
+#include <sstream>
 
 #include "transport/test_support/free_port.h"
 
@@ -179,10 +180,11 @@
   dispatch::UpstreamListing listing;
   listing.id = item.key;
   listing.service = "app";
-  const auto space = item.value.find(' ');
-  listing.address = item.value.substr(0, space);
-  listing.version = space == std::string::npos ? "" : item.value.substr(space + 1);
-  listing.failure_domain = "a";
+  // The address, then optionally the version and the failure domain.
+  std::istringstream(item.value) >> listing.address >> listing.version >> listing.failure_domain;
+  if (listing.failure_domain.empty()) {
+    listing.failure_domain = "a";
+  }
   listing.slots = 8;
   listing.started_at_ms = 1;
   return listing;
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -41,6 +41,8 @@
   RawUpstream(boost::asio::io_context& io, std::deque<Reply> replies);
 
   std::string Address() const;
+  // Replaces the replies that are left.
+  void SetReplies(std::deque<Reply> replies) { this->pending = std::move(replies); }
   // Heads and bodies of the received requests, in order.
   std::vector<std::string> requests;
   std::size_t connections = 0;
