edge, transport: log the connection of an attempt and the id of unread requests

A log didn't tell whether an attempt used a connection that had been used before, whether that one had carried the same request, or how many answers to other requests came first. The line of an attempt now has the number of its connection, how often it was used, the skipped answers, and the status of the upstream's answer.

Two kinds of answers reached callers without a line that names the request: a 503 for too many request bodies (request_unreadable had no id), and at the first attempt an upstream's answer that is no success, which was sampled as if it were one. Both are now logged with the id. Left as they are: the 500 after an exception of the handler, which promises nothing, and heads that were not read to their end.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -387,7 +387,9 @@
   const auto endpoint = transport::ParseEndpoint(upstream.listing.address);
   run.tried.push_back(upstream.listing.id);
   if (!endpoint) {
-    co_return Attempt{AttemptResult::kNotSent, "bad_address", std::nullopt};
+    Attempt attempt;
+    attempt.reason = "bad_address";
+    co_return attempt;
   }
   dispatch::RunningRequest running(chosen.row, chosen.uncached_tokens);
   const TimePoint sent_at = RuntimeClock::now();
@@ -411,7 +413,8 @@
   }
   if (!head) {
     run.active = nullptr;
-    const Attempt attempt = MakeFailedAttempt(run, upstream, head.error());
+    Attempt attempt = MakeFailedAttempt(run, upstream, head.error());
+    attempt.connection = exchange.Use();
     if (head.error().phase < ExchangePhase::kWritingRequest) {
       --run.sends;
       ++run.failed_connects;
@@ -430,6 +433,8 @@
   } else {
     attempt = co_await DeliverResponse(run, upstream, exchange, head.value(), answer, responder);
   }
+  attempt.status = head.value().status;
+  attempt.connection = exchange.Use();
   run.active = nullptr;
   RecordOutcome(run, chosen.row, attempt);
   co_return attempt;
--- a/src/edge/internal/attempt.h
+++ b/src/edge/internal/attempt.h
@@ -31,6 +31,9 @@
 struct Attempt {
   AttemptResult result = AttemptResult::kNotSent;
   std::string reason;
+  // Status of the upstream's response; 0 if there was none.
+  int status = 0;
+  transport::ConnectionUse connection;
   std::optional<transport::HttpResponse> answer;
   transport::AnswerMemory answer_memory;
   // The upstream closed the connection before the response was complete.
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -141,7 +141,8 @@
 void LogAttempt(const RequestRun& run,
                 const dispatch::Selection& selection,
                 const Attempt& attempt) {
-  if (attempt.result == AttemptResult::kDelivered && run.sends == 1 && !IsSampled(run)) {
+  const bool is_success = attempt.result == AttemptResult::kDelivered && attempt.status < 300;
+  if (is_success && run.sends == 1 && !IsSampled(run)) {
     return;
   }
   LogEvent(attempt.result == AttemptResult::kDelivered ? LogLevel::kInfo : LogLevel::kWarn,
@@ -152,6 +153,10 @@
             {"attempt", run.sends},
             {"result", ToString(attempt.result)},
             {"reason", attempt.reason},
+            {"status", attempt.status},
+            {"connection", attempt.connection.number},
+            {"connection_exchanges", attempt.connection.exchanges},
+            {"skipped_answers", attempt.connection.skipped_answers},
             {"stopped", run.stopped == StopReason::kDeadlineExceeded     ? "time_up"
                         : run.stopped == StopReason::kCallerDisconnected ? "caller_gone"
                                                                          : "no"},
@@ -363,8 +368,12 @@
 }
 
 void RecordUnreadableRequest(EdgeState& edge, const transport::UnreadableRequest& request) {
+  transport::HttpRequest head("GET", "/", request.headers);
+  const auto decoded = edge.codec.decode_request(std::move(head));
   LogEvent(LogLevel::kWarn, "request_unreadable",
-           {{"status", request.status}, {"code", request.code}});
+           {{"request_id", decoded ? decoded.value().id : std::string()},
+            {"status", request.status},
+            {"code", request.code}});
   edge.metrics.Count("geranium_refusals_total", {{"code", request.code}});
 }
 
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -67,7 +67,7 @@
 // `ran`. Takes a retry from the service's retry budget if the request was already sent.
 bool TryAcquireRetry(RequestRun& run, RunState ran);
 
-// Logs and counts a request that could not be parsed; it has no id.
+// Logs and counts a request that could not be read, with its id if its head was read.
 void RecordUnreadableRequest(EdgeState& edge, const transport::UnreadableRequest& request);
 
 // Handles one caller's request up to the end of its response.
--- a/src/edge/tests/edge_log_test.cc
+++ b/src/edge/tests/edge_log_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
@@ -108,6 +109,65 @@
   BOOST_TEST(log.Lines("request_refused").size() == 1U);
 }
 
+// Guards against a refusal whose log line doesn't name the request: the instance holds too many
+// request bodies.
+BOOST_AUTO_TEST_CASE(ARefusalForTooManyBodiesIsLoggedWithTheId) {
+  const LogFile log("overloaded");
+  EdgeFixture fixture;
+  const std::string head =
+      "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: held\r\nX-Key: key\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  const transport::ServerLimits limits;
+  const transport::Endpoint& endpoint = fixture.settings.caller_endpoint;
+  std::vector<boost::asio::ip::tcp::socket> senders;
+  for (std::uint64_t held = 0; held <= limits.max_buffered_body_bytes / limits.max_body_bytes;
+       ++held) {
+    senders.emplace_back(fixture.io)
+        .connect({boost::asio::ip::make_address(endpoint.address), endpoint.port});
+    boost::asio::write(senders.back(), boost::asio::buffer(head));
+  }
+  fixture.RunFor(100ms);
+  const auto lines = log.Lines("request_unreadable");
+  BOOST_REQUIRE(lines.size() == 1U);
+  BOOST_TEST(lines.front().at("status").as_int64() == 503);
+  BOOST_TEST(lines.front().at("request_id").as_string() == "held");
+}
+
+// Guards against an answer of an upstream that no line explains: it is not a success, and its id
+// is not among the sampled ones.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsNoSuccessIsAlwaysLogged) {
+  const LogFile log("no_success");
+  EdgeFixture fixture;
+  fixture.settings.log_one_in = 1'000'000'007;
+  fixture.AddInstance("127.0.0.2");
+  fixture.AddUpstream({Sealed("none", 404), Sealed("whole")});
+  fixture.current = 1;
+  fixture.Call("/order/1").value();
+  fixture.Call("/order/1").value();
+  const auto attempts = log.Lines("attempt");
+  BOOST_REQUIRE(attempts.size() == 1U);
+  BOOST_TEST(attempts.front().at("status").as_int64() == 404);
+}
+
+// The attempts of a request show whether it used a connection that had been used before, and how
+// many answers to other requests came first.
+BOOST_AUTO_TEST_CASE(AttemptsAreLoggedWithTheirConnection) {
+  const LogFile log("connection");
+  EdgeFixture fixture;
+  const std::string late = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n";
+  fixture.AddUpstream({Sealed("first"), {late + Sealed("second").bytes}});
+  fixture.Call("/order/1").value();
+  fixture.Call("/order/2").value();
+  const auto attempts = log.Lines("attempt");
+  BOOST_REQUIRE(attempts.size() == 2U);
+  BOOST_TEST(attempts.front().at("connection").as_int64() ==
+             attempts.back().at("connection").as_int64());
+  BOOST_TEST(attempts.front().at("connection_exchanges").as_int64() == 1);
+  BOOST_TEST(attempts.back().at("connection_exchanges").as_int64() == 2);
+  BOOST_TEST(attempts.front().at("skipped_answers").as_int64() == 0);
+  BOOST_TEST(attempts.back().at("skipped_answers").as_int64() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(AnOrderWithAnUnknownOutcomeLogsOneAttempt) {
   const LogFile log("unknown");
   EdgeFixture fixture;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -27,6 +27,16 @@
   kFresh,
 };
 
+// The connection of an exchange, as stated in log lines.
+struct ConnectionUse {
+  // Number of the connection in its pool; 0 if none was opened.
+  std::uint64_t number = 0;
+  // Exchanges on this connection so far, with this one.
+  std::uint32_t exchanges = 0;
+  // Answers that were skipped, as they belong to other requests.
+  std::uint32_t skipped_answers = 0;
+};
+
 // Keeps idle connections by endpoint. A connection is kept only when its last
 // answer was read to its end and nothing came after it.
 class HttpConnectionPool {
@@ -73,6 +83,7 @@
   void Cancel();
   ExchangePhase Phase() const;
   bool UsedPooledConnection() const;
+  const ConnectionUse& Use() const;
   // True if only the end of the connection marks the end of the answer's body.
   bool EndsWithConnection() const;
   // Returns nullopt for a reused connection or one that was not opened.
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -49,6 +49,8 @@
 struct UnreadableRequest {
   int status = 0;
   std::string_view code;
+  // Empty if the head was not read to its end.
+  HttpHeaders headers;
 };
 
 // An HTTP/1.1 server for one listening address.
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -35,12 +35,19 @@
 // request that crosses the close is lost, so the connection is dropped earlier.
 constexpr double kKeepAliveFraction = 0.6;
 // Maximum number of unmatched answers skipped on one connection.
-constexpr int kMaxUnmatchedAnswers = 3;
+constexpr std::uint32_t kMaxUnmatchedAnswers = 3;
 constexpr std::size_t kMaxUnmatchedBytes = std::size_t{4} << 20U;
 
+// What is known about a connection, for as long as it is open.
+struct ConnectionHistory {
+  std::uint64_t number = 0;
+  std::uint32_t exchanges = 0;
+};
+
 struct IdleConnection {
   Endpoint endpoint;
   Tcp::socket socket;
+  ConnectionHistory history;
   TimePoint expires_at;
 };
 
@@ -77,8 +84,9 @@
   ClientLimits limits;
   std::vector<IdleConnection> idle;
   std::uint64_t buffered_bytes = 0;
+  std::uint64_t opened_connections = 0;
 
-  std::optional<Tcp::socket> Take(const Endpoint& endpoint) {
+  std::optional<IdleConnection> Take(const Endpoint& endpoint) {
     const TimePoint now = RuntimeClock::now();
     std::erase_if(this->idle,
                   [now](const IdleConnection& connection) { return now >= connection.expires_at; });
@@ -86,21 +94,22 @@
       if (this->idle[index].endpoint != endpoint) {
         continue;
       }
-      Tcp::socket socket = std::move(this->idle[index].socket);
+      IdleConnection connection = std::move(this->idle[index]);
       this->idle.erase(this->idle.begin() + static_cast<std::ptrdiff_t>(index));
-      if (IsReusable(socket)) {
-        return socket;
+      if (IsReusable(connection.socket)) {
+        return connection;
       }
     }
     return std::nullopt;
   }
 
-  void Put(const Endpoint& endpoint, Tcp::socket socket, Duration max_idle) {
-    const auto same_endpoint = std::ranges::count_if(
-        this->idle,
-        [&](const IdleConnection& connection) { return connection.endpoint == endpoint; });
-    if (static_cast<std::size_t>(same_endpoint) < kMaxIdlePerEndpoint && IsReusable(socket)) {
-      this->idle.push_back({endpoint, std::move(socket), RuntimeClock::now() + max_idle});
+  void Put(IdleConnection connection) {
+    const auto same_endpoint = std::ranges::count_if(this->idle, [&](const IdleConnection& other) {
+      return other.endpoint == connection.endpoint;
+    });
+    if (static_cast<std::size_t>(same_endpoint) < kMaxIdlePerEndpoint &&
+        IsReusable(connection.socket)) {
+      this->idle.push_back(std::move(connection));
     }
   }
 };
@@ -147,6 +156,7 @@
   std::unique_ptr<http::response_parser<http::buffer_body>> parser;
   ExchangePhase phase = ExchangePhase::kNotStarted;
   bool pooled = false;
+  ConnectionUse use;
   bool cancelled = false;
   bool is_head = false;
   bool request_written = false;
@@ -194,8 +204,10 @@
     this->DisarmDeadlines();
     if (this->parser->get().keep_alive() && this->request_written && this->buffer.size() == 0 &&
         this->socket.is_open()) {
-      this->pool->Put(this->endpoint, std::move(this->socket),
-                      KeepAliveTime(this->parser->get()["Keep-Alive"]));
+      this->pool->Put({this->endpoint,
+                       std::move(this->socket),
+                       {this->use.number, this->use.exchanges},
+                       RuntimeClock::now() + KeepAliveTime(this->parser->get()["Keep-Alive"])});
     } else {
       this->Close();
     }
@@ -208,8 +220,9 @@
                                                        ConnectionPolicy policy) {
   connection->phase = ExchangePhase::kConnecting;
   if (policy == ConnectionPolicy::kReuse) {
-    if (auto socket = connection->pool->Take(connection->endpoint); socket) {
-      connection->socket = std::move(*socket);
+    if (auto idle = connection->pool->Take(connection->endpoint); idle) {
+      connection->socket = std::move(idle->socket);
+      connection->use = {idle->history.number, idle->history.exchanges + 1};
       connection->pooled = true;
       co_return std::nullopt;
     }
@@ -229,6 +242,7 @@
   }
   connection->deadline.Disarm();
   connection->connect_time = RuntimeClock::now() - started_at;
+  connection->use = {++connection->pool->opened_connections, 1};
   connection->socket.set_option(Tcp::no_delay(true), error);
   co_return std::nullopt;
 }
@@ -368,6 +382,10 @@
   return this->connection->pooled;
 }
 
+const ConnectionUse& HttpExchange::Use() const {
+  return this->connection->use;
+}
+
 boost::asio::awaitable<Result<HttpResponse>> HttpExchange::Start(HttpRequest request,
                                                                  ConnectionPolicy policy) {
   // The coroutine keeps the connection, since Cancel may come from the destructor.
@@ -382,7 +400,7 @@
   current->phase = ExchangePhase::kWritingRequest;
   current->deadline.Arm(current->timeouts.write);
   detail::StartWrite(current, detail::BuildMessage(current->endpoint, std::move(request)));
-  for (int skipped = 0; skipped <= detail::kMaxUnmatchedAnswers; ++skipped) {
+  while (current->use.skipped_answers <= detail::kMaxUnmatchedAnswers) {
     if (const auto read_error = co_await detail::ReadHead(current); read_error) {
       co_return current->Failure(current->write_error ? current->write_error : read_error);
     }
@@ -400,6 +418,7 @@
     if (const auto error = co_await detail::SkipBody(current); error) {
       co_return current->Failure(error);
     }
+    ++current->use.skipped_answers;
   }
   co_return current->Failure(boost::asio::error::operation_aborted);
 }
--- a/src/transport/internal/http_server.cc
+++ b/src/transport/internal/http_server.cc
@@ -310,10 +310,19 @@
   }
 }
 
+using RequestParser = http::request_parser<http::string_body>;
+
+HttpHeaders ReceivedHeaders(const RequestParser& parser) {
+  return parser.is_header_done() ? CopyHeaders(parser.get()) : HttpHeaders();
+}
+
 asio::awaitable<void> RefuseRequest(const std::shared_ptr<ServerSession>& session,
-                                    RequestFailure failure) {
+                                    RequestFailure failure,
+                                    const RequestParser& parser) {
   session->keep_alive = false;
-  ReportUnreadable(*session, {.status = failure.status, .code = failure.code});
+  ReportUnreadable(
+      *session,
+      {.status = failure.status, .code = failure.code, .headers = ReceivedHeaders(parser)});
   SessionResponder responder(session, false);
   co_await responder.Send(MakeErrorResponse(
       {.status = failure.status, .code = failure.code, .message = failure.message}));
@@ -337,7 +346,7 @@
 asio::awaitable<std::optional<HttpRequest>> ReadRequest(
     const std::shared_ptr<ServerSession>& session) {
   const ServerLimits& limits = session->server->limits;
-  http::request_parser<http::string_body> parser;
+  RequestParser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   const bool has_bytes = session->buffer.size() > 0;
@@ -354,7 +363,8 @@
     const std::uint64_t expected =
         parser.content_length() ? *parser.content_length() : limits.max_body_bytes;
     if (session->server->buffered_body_bytes + expected > limits.max_buffered_body_bytes) {
-      co_await RefuseRequest(session, {503, "overloaded", "too many request bodies are held"});
+      const RequestFailure overloaded{503, "overloaded", "too many request bodies are held"};
+      co_await RefuseRequest(session, overloaded, parser);
       co_await DiscardUnread(session);
       co_return std::nullopt;
     }
@@ -367,9 +377,10 @@
   session->deadline.Disarm();
   if (error) {
     if (const auto failure = DescribeReadFailure(error); failure && !expired) {
-      co_await RefuseRequest(session, *failure);
+      co_await RefuseRequest(session, *failure, parser);
     } else if (expired && !session->is_idle) {
-      ReportUnreadable(*session, {.status = 0, .code = "request_too_slow"});
+      ReportUnreadable(
+          *session, {.status = 0, .code = "request_too_slow", .headers = ReceivedHeaders(parser)});
       co_await DiscardUnread(session);
     }
     co_return std::nullopt;
