--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -202,13 +202,16 @@
 }
 
 std::string WithId(std::string bytes, const std::string& request) {
-  const auto place = bytes.find("{id}");
   const auto header = request.find("X-Id: ");
-  if (place == std::string::npos || header == std::string::npos) {
+  if (header == std::string::npos) {
     return bytes;
   }
   const auto end = request.find("\r\n", header);
-  return bytes.replace(place, 4, request.substr(header + 6, end - header - 6));
+  const std::string id = request.substr(header + 6, end - header - 6);
+  for (auto place = bytes.find("{id}"); place != std::string::npos; place = bytes.find("{id}")) {
+    bytes.replace(place, 4, id);
+  }
+  return bytes;
 }
 
 // Returns the length of the complete request at the start of `bytes`, or 0 if it is not
@@ -272,6 +275,10 @@
   return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
 }
 
+void RawUpstream::SetReplies(std::deque<Reply> replies) {
+  this->pending = std::move(replies);
+}
+
 asio::awaitable<void> RawUpstream::Accept() {
   while (true) {
     auto [error, socket] = co_await this->acceptor.async_accept(kAwait);
@@ -299,6 +306,8 @@
 asio::awaitable<void> RawUpstream::Serve(std::shared_ptr<tcp::socket> connection) {
   tcp::socket& socket = *connection;
   std::string received;
+  std::string late_copy;
+  std::chrono::milliseconds late_by{0};
   std::array<char, 4096> chunk{};
   boost::system::error_code error;
   while (!error) {
@@ -323,9 +332,19 @@
     if (reply.is_silent) {
       continue;
     }
-    const std::string bytes = WithId(reply.bytes, this->requests.back());
-    co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
     asio::steady_timer pause(socket.get_executor());
+    if (!late_copy.empty() && late_by.count() > 0) {
+      pause.expires_after(late_by);
+      co_await pause.async_wait(kAwait);
+      co_await asio::async_write(socket, asio::buffer(late_copy), kAwait);
+      pause.expires_after(late_by);
+      co_await pause.async_wait(kAwait);
+      late_copy.clear();
+    }
+    const std::string bytes = late_copy + WithId(reply.bytes, this->requests.back());
+    late_copy = WithId(reply.late_copy, this->requests.back());
+    late_by = reply.late_by;
+    co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
     while (!reply.endless.empty() && !error) {
       std::tie(error, count) =
           co_await asio::async_write(socket, asio::buffer(reply.endless), kAwait);
@@ -373,18 +392,21 @@
 
 RawUpstream& EdgeFixture::AddUpstream(std::deque<Reply> replies, const std::string& version) {
   this->upstreams.push_back(std::make_unique<RawUpstream>(this->io, std::move(replies)));
-  RawUpstream& upstream = *this->upstreams.back();
+  this->AddListing(*this->upstreams.back(), version);
+  return *this->upstreams.back();
+}
+
+void EdgeFixture::AddListing(const RawUpstream& upstream, const std::string& version) {
   ++this->revision;
   const std::vector<dispatch::PublishedItem> changes{
       {"config", "", this->revision},
-      {"u" + std::to_string(this->upstreams.size()), upstream.Address() + " " + version,
+      {"u" + std::to_string(++this->listings), upstream.Address() + " " + version,
        this->revision + 1}};
   this->edge->OnPublishedChanges(changes, {this->era, this->revision + 1});
   for (const auto& other : this->other_instances) {
     other->OnPublishedChanges(changes, {this->era, this->revision + 1});
   }
   ++this->revision;
-  return upstream;
 }
 
 transport::Result<HttpResponse> EdgeFixture::Call(const std::string& target,
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -25,6 +25,10 @@
   // Sent repeatedly after `bytes`, every `pause`, until the client closes the connection.
   std::string endless;
   std::chrono::milliseconds pause{0};
+  // Sent once more when the next request has come on the connection: in one write with the
+  // response to that request, or this long before it.
+  std::string late_copy;
+  std::chrono::milliseconds late_by{0};
 };
 
 Reply Sealed(const std::string& body, int status = 200);
@@ -41,6 +45,7 @@
   RawUpstream(boost::asio::io_context& io, std::deque<Reply> replies);
 
   std::string Address() const;
+  void SetReplies(std::deque<Reply> replies);
   // Heads and bodies of the received requests, in order.
   std::vector<std::string> requests;
   std::size_t connections = 0;
@@ -72,6 +77,8 @@
 
   // Publishes an upstream of the service "app".
   RawUpstream& AddUpstream(std::deque<Reply> replies, const std::string& version = "v1");
+  // Publishes one more upstream with this address.
+  void AddListing(const RawUpstream& upstream, const std::string& version = "v1");
   // Sends one request and waits for the whole response.
   transport::Result<transport::HttpResponse> Call(const std::string& target,
                                                   transport::HttpHeaders headers = {},
@@ -92,6 +99,7 @@
   // The instance that gets the requests: an index into `caller_endpoints`.
   std::size_t current = 0;
   std::vector<std::unique_ptr<RawUpstream>> upstreams;
+  std::size_t listings = 0;
   std::uint64_t revision = 1;
   // Era of the store.
   std::uint64_t era = 0;
