transport, edge: send a request only once on a connection until it succeeds

Cause: an upstream may send a refusal twice. The copy bears the id of the refused request, and the check of the id passes if that request is under way again on the same connection. An instance tells upstreams apart by id and connections by address, so an order that one listing of an address refused may go to the other listing on the connection of the refusal. The copy was then the answer: not run. Class: an id identifies an answer only if its connection has carried the id once.

Fix: a kept connection remembers hashes of the ids of the requests that it carried without success, and the pool gives it to none of them again. What comes late on a connection thus never has the id that is asked for there, for all ways that lead to a second send: another attempt, the caller's next try with the same id, a stream that goes on. At most 16 are remembered; with more, the connection is closed rather than kept. The price is a new connection for a refused request whose upstream has no other idle one, and one for each 17 answers without success.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "common/hash.h"
 #include "dispatch/named_limits.h"
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/event_splitter.h"
@@ -395,6 +396,7 @@
   const TimePoint sent_at = RuntimeClock::now();
   RecordSend(run, chosen);
   transport::HttpExchange exchange(run.edge->connections, *endpoint, TimeoutsOf(run));
+  exchange.IdentifyRequest(StableHash(run.request.id));
   UpstreamAnswer answer;
   exchange.SkipUnmatchedAnswers([&](const transport::HttpResponse& head) {
     answer = run.edge->codec.decode_answer(head);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -38,7 +38,8 @@
 };
 
 // Keeps idle connections by endpoint. A connection is kept only when its last
-// answer was read to its end and nothing came after it.
+// answer was read to its end and nothing came after it. It remembers the requests
+// that it carried without success, so that they are not sent on it again.
 class HttpConnectionPool {
  public:
   explicit HttpConnectionPool(boost::asio::any_io_executor executor, ClientLimits limits = {});
@@ -63,6 +64,11 @@
   // An exchange that is not complete closes its connection.
   ~HttpExchange();
 
+  // Sets a hash of the request's id, which must be the same each time that the request is sent.
+  // A peer may send an answer twice, and the id of the second one doesn't tell which send of the
+  // request it belongs to. So the request uses no connection that has carried it before, unless
+  // the answer was a success, after which it isn't sent again.
+  void IdentifyRequest(std::uint64_t key);
   // Reads and drops answers for which `matches` returns false: a late
   // answer to an earlier request may come first on a kept connection.
   void SkipUnmatchedAnswers(std::function<bool(const HttpResponse&)> matches);
@@ -83,7 +89,7 @@
   void Cancel();
   ExchangePhase Phase() const;
   bool UsedPooledConnection() const;
-  const ConnectionUse& Use() const;
+  ConnectionUse Use() const;
   // True if only the end of the connection marks the end of the answer's body.
   bool EndsWithConnection() const;
   // Returns nullopt for a reused connection or one that was not opened.
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -37,11 +37,20 @@
 // Maximum number of unmatched answers skipped on one connection.
 constexpr std::uint32_t kMaxUnmatchedAnswers = 3;
 constexpr std::size_t kMaxUnmatchedBytes = std::size_t{4} << 20U;
+// A connection that carried more requests without success is closed rather than kept.
+constexpr std::size_t kMaxRememberedRequests = 16;
 
 // What is known about a connection, for as long as it is open.
 struct ConnectionHistory {
   std::uint64_t number = 0;
   std::uint32_t exchanges = 0;
+  // Keys of the requests whose answers were no success.
+  std::vector<std::uint64_t> unsuccessful;
+
+  bool HasCarried(std::optional<std::uint64_t> request_key) const {
+    return request_key &&
+           std::ranges::find(this->unsuccessful, *request_key) != this->unsuccessful.end();
+  }
 };
 
 struct IdleConnection {
@@ -86,12 +95,15 @@
   std::uint64_t buffered_bytes = 0;
   std::uint64_t opened_connections = 0;
 
-  std::optional<IdleConnection> Take(const Endpoint& endpoint) {
+  // Returns an idle connection that has not carried the request.
+  std::optional<IdleConnection> Take(const Endpoint& endpoint,
+                                     std::optional<std::uint64_t> request_key) {
     const TimePoint now = RuntimeClock::now();
     std::erase_if(this->idle,
                   [now](const IdleConnection& connection) { return now >= connection.expires_at; });
     for (std::size_t index = this->idle.size(); index-- > 0;) {
-      if (this->idle[index].endpoint != endpoint) {
+      if (this->idle[index].endpoint != endpoint ||
+          this->idle[index].history.HasCarried(request_key)) {
         continue;
       }
       IdleConnection connection = std::move(this->idle[index]);
@@ -156,7 +168,9 @@
   std::unique_ptr<http::response_parser<http::buffer_body>> parser;
   ExchangePhase phase = ExchangePhase::kNotStarted;
   bool pooled = false;
-  ConnectionUse use;
+  ConnectionHistory history;
+  std::optional<std::uint64_t> request_key;
+  std::uint32_t skipped_answers = 0;
   bool cancelled = false;
   bool is_head = false;
   bool request_written = false;
@@ -198,15 +212,26 @@
                 std::string(ToString(failed_phase)) + " (" + error.message() + ")"};
   }
 
+  void RememberRequest() {
+    const bool is_success =
+        http::to_status_class(this->parser->get().result_int()) == http::status_class::successful;
+    if (this->request_key && !is_success) {
+      this->history.unsuccessful.push_back(*this->request_key);
+    }
+  }
+
+  bool MayKeep() const {
+    return this->parser->get().keep_alive() && this->request_written && this->buffer.size() == 0 &&
+           this->socket.is_open() && this->history.unsuccessful.size() <= kMaxRememberedRequests;
+  }
+
   // Keeps the connection for another exchange when nothing is left on it.
   void Release() {
     this->phase = ExchangePhase::kComplete;
     this->DisarmDeadlines();
-    if (this->parser->get().keep_alive() && this->request_written && this->buffer.size() == 0 &&
-        this->socket.is_open()) {
-      this->pool->Put({this->endpoint,
-                       std::move(this->socket),
-                       {this->use.number, this->use.exchanges},
+    this->RememberRequest();
+    if (this->MayKeep()) {
+      this->pool->Put({this->endpoint, std::move(this->socket), this->history,
                        RuntimeClock::now() + KeepAliveTime(this->parser->get()["Keep-Alive"])});
     } else {
       this->Close();
@@ -220,9 +245,10 @@
                                                        ConnectionPolicy policy) {
   connection->phase = ExchangePhase::kConnecting;
   if (policy == ConnectionPolicy::kReuse) {
-    if (auto idle = connection->pool->Take(connection->endpoint); idle) {
+    if (auto idle = connection->pool->Take(connection->endpoint, connection->request_key); idle) {
       connection->socket = std::move(idle->socket);
-      connection->use = {idle->history.number, idle->history.exchanges + 1};
+      connection->history = std::move(idle->history);
+      ++connection->history.exchanges;
       connection->pooled = true;
       co_return std::nullopt;
     }
@@ -242,7 +268,7 @@
   }
   connection->deadline.Disarm();
   connection->connect_time = RuntimeClock::now() - started_at;
-  connection->use = {++connection->pool->opened_connections, 1};
+  connection->history = {++connection->pool->opened_connections, 1, {}};
   connection->socket.set_option(Tcp::no_delay(true), error);
   co_return std::nullopt;
 }
@@ -354,6 +380,10 @@
   }
 }
 
+void HttpExchange::IdentifyRequest(std::uint64_t key) {
+  this->connection->request_key = key;
+}
+
 void HttpExchange::SkipUnmatchedAnswers(std::function<bool(const HttpResponse&)> matches) {
   this->connection->matches = std::move(matches);
 }
@@ -382,8 +412,9 @@
   return this->connection->pooled;
 }
 
-const ConnectionUse& HttpExchange::Use() const {
-  return this->connection->use;
+ConnectionUse HttpExchange::Use() const {
+  return {this->connection->history.number, this->connection->history.exchanges,
+          this->connection->skipped_answers};
 }
 
 boost::asio::awaitable<Result<HttpResponse>> HttpExchange::Start(HttpRequest request,
@@ -400,7 +431,7 @@
   current->phase = ExchangePhase::kWritingRequest;
   current->deadline.Arm(current->timeouts.write);
   detail::StartWrite(current, detail::BuildMessage(current->endpoint, std::move(request)));
-  while (current->use.skipped_answers <= detail::kMaxUnmatchedAnswers) {
+  while (current->skipped_answers <= detail::kMaxUnmatchedAnswers) {
     if (const auto read_error = co_await detail::ReadHead(current); read_error) {
       co_return current->Failure(current->write_error ? current->write_error : read_error);
     }
@@ -418,7 +449,7 @@
     if (const auto error = co_await detail::SkipBody(current); error) {
       co_return current->Failure(error);
     }
-    ++current->use.skipped_answers;
+    ++current->skipped_answers;
   }
   co_return current->Failure(boost::asio::error::operation_aborted);
 }
--- a/src/transport/tests/http_test.cc
+++ b/src/transport/tests/http_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 #include "transport/error_response.h"
 #include "transport/http_client.h"
@@ -136,6 +137,65 @@
   }(cases, *this));
 }
 
+// Sends a request that the server answers with the status in its target. Returns the number of
+// its connection.
+asio::awaitable<std::uint64_t> ConnectionOf(Fixture& fixture,
+                                            std::uint64_t request_key,
+                                            int status) {
+  HttpExchange exchange(fixture.pool, fixture.endpoint, {});
+  exchange.IdentifyRequest(request_key);
+  HttpRequest request("GET", "/" + std::to_string(status));
+  const auto head = co_await exchange.Start(std::move(request), ConnectionPolicy::kReuse);
+  BOOST_REQUIRE(head.has_value());
+  co_await exchange.ReadAll(kMaxBody);
+  co_return exchange.Use().number;
+}
+
+asio::awaitable<void> AnswerWithStatus(HttpRequest request, HttpResponder& responder) {
+  HttpResponse response(std::stoi(request.target.substr(1)));
+  response.body = "text";
+  co_await responder.Send(std::move(response));
+}
+
+// Guards against a request that is sent again on a connection that has carried it: a second copy
+// of the first answer has the same id as the answer that is due.
+BOOST_FIXTURE_TEST_CASE(ARequestIsNotSentAgainOnItsConnection, Fixture) {
+  this->Serve(AnswerWithStatus);
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    for (const int status : {302, 400, 404, 421, 429, 500, 503}) {
+      fixture.pool.CloseIdle();
+      const std::uint64_t first = co_await ConnectionOf(fixture, 1, status);
+      BOOST_TEST(co_await ConnectionOf(fixture, 2, status) == first);
+      const std::uint64_t second = co_await ConnectionOf(fixture, 1, status);
+      BOOST_TEST(second != first);
+      BOOST_TEST(co_await ConnectionOf(fixture, 3, 200) == second);
+      BOOST_TEST(co_await ConnectionOf(fixture, 2, 200) == second);
+      const std::uint64_t third = co_await ConnectionOf(fixture, 1, status);
+      BOOST_TEST(third != first);
+      BOOST_TEST(third != second);
+    }
+  }(*this));
+}
+
+// Guards against a connection that remembers requests without limit, and against one that is
+// closed although its requests succeed.
+BOOST_FIXTURE_TEST_CASE(AConnectionRemembersAFewRequests, Fixture) {
+  this->Serve(AnswerWithStatus);
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    std::uint64_t key = 0;
+    const std::uint64_t first = co_await ConnectionOf(fixture, ++key, 200);
+    for (int request = 0; request < 100; ++request) {
+      BOOST_TEST(co_await ConnectionOf(fixture, ++key, 200) == first);
+    }
+    std::set<std::uint64_t> connections;
+    for (int request = 0; request < 100; ++request) {
+      connections.insert(co_await ConnectionOf(fixture, ++key, 503));
+    }
+    BOOST_TEST(connections.size() >= 5U);
+    BOOST_TEST(connections.size() <= 10U);
+  }(*this));
+}
+
 // Guards against many answers below the limit of one that together exhaust the memory of the
 // process. Small answers are still read.
 BOOST_FIXTURE_TEST_CASE(LargeAnswersTogetherReachTheLimitOfThePool, Fixture) {
