--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "common/hash.h"
 #include "dispatch/named_limits.h"
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/event_splitter.h"
@@ -387,12 +388,15 @@
   const auto endpoint = transport::ParseEndpoint(upstream.listing.address);
   run.tried.push_back(upstream.listing.id);
   if (!endpoint) {
-    co_return Attempt{AttemptResult::kNotSent, "bad_address", std::nullopt};
+    Attempt attempt;
+    attempt.reason = "bad_address";
+    co_return attempt;
   }
   dispatch::RunningRequest running(chosen.row, chosen.uncached_tokens);
   const TimePoint sent_at = RuntimeClock::now();
   RecordSend(run, chosen);
   transport::HttpExchange exchange(run.edge->connections, *endpoint, TimeoutsOf(run));
+  exchange.IdentifyRequest(StableHash(run.request.id));
   UpstreamAnswer answer;
   exchange.SkipUnmatchedAnswers([&](const transport::HttpResponse& head) {
     answer = run.edge->codec.decode_answer(head);
@@ -411,7 +415,8 @@
   }
   if (!head) {
     run.active = nullptr;
-    const Attempt attempt = MakeFailedAttempt(run, upstream, head.error());
+    Attempt attempt = MakeFailedAttempt(run, upstream, head.error());
+    attempt.connection = exchange.Use();
     if (head.error().phase < ExchangePhase::kWritingRequest) {
       --run.sends;
       ++run.failed_connects;
@@ -430,6 +435,8 @@
   } else {
     attempt = co_await DeliverResponse(run, upstream, exchange, head.value(), answer, responder);
   }
+  attempt.status = head.value().status;
+  attempt.connection = exchange.Use();
   run.active = nullptr;
   RecordOutcome(run, chosen.row, attempt);
   co_return attempt;
