transport tests: choose ports that are free for UDP too

Edge tests that ran in two folders at a time failed with "the digest port can't be opened": the fixture takes its digest port from FreeEndpoint, which probed TCP only. Seen in 6 of 34 tests beside another folder's tests, and by a reviewer in 5 of 5 pairs.

--- a/src/transport/test_support/free_port.h
+++ b/src/transport/test_support/free_port.h
@@ -3,14 +3,15 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <cstdint>
 
 #include "transport/transport_types.h"
 
 namespace geraniumspread::transport {
 
-// A loopback port from `first` upwards that is free now; each call goes on after
-// the one before. The range must lie below the kernel's ephemeral ports, which
+// A loopback port from `first` upwards that is free now, for TCP and for UDP; each call goes on
+// after the one before. The range must lie below the kernel's ephemeral ports, which
 // outgoing connections of the same test could take between probe and use.
 inline Endpoint FreeEndpoint(boost::asio::io_context& io, std::uint16_t first) {
   static std::uint16_t next = first;
@@ -22,6 +23,10 @@
     probe.open(boost::asio::ip::tcp::v4(), error);
     probe.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), error);
     probe.bind({address, port}, error);
+    boost::asio::ip::udp::socket datagram_probe(io, boost::asio::ip::udp::v4());
+    if (!error) {
+      datagram_probe.bind({address, port}, error);
+    }
     if (!error) {
       return {"127.0.0.1", port};
     }
