transport: reject a head whose status line holds another one

Cause: an upstream sends a part of a refusal that ends within the status line, and then the answer of the order. The parser takes the rest of the line, "HTTP/1.1 500 Error", for the reason phrase: the head has the status of the refusal with the headers of the answer. If that has no seal, as a failed run may have none, a 421 counts as not run. The check for joined heads looks at headers only and doesn't see the reason phrase.

Fix: such a head is malformed. The connection is closed and the outcome of the request is unknown.

Evidence: APartOfARefusalIsNotTheStatusOfAnOrderThatRan cuts the status line of a 421 after each of its 24 bytes; before, the order was sent twice at 12 of them, now at none. AStatusLineWithinAnotherIsMalformed of transport_test failed before too. transport_test (14 cases), edge_test and edge_refusal_copy_test (8) pass.

--- a/src/edge/tests/edge_refusal_copy_test.cc
+++ b/src/edge/tests/edge_refusal_copy_test.cc
@@ -156,6 +156,22 @@
   BOOST_TEST(fixture.Call("/order/1").value().status == 502);
 }
 
+// Guards against an order that ran and is sent again: the status of a refusal that was cut off in
+// its status line counts as that of the answer which follows.
+BOOST_AUTO_TEST_CASE(APartOfARefusalIsNotTheStatusOfAnOrderThatRan) {
+  const std::string status_line = "HTTP/1.1 421 Misdirected";
+  const std::string failed = "HTTP/1.1 500 Error\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t length = 1; length <= status_line.size(); ++length) {
+    BOOST_TEST_CONTEXT(status_line.substr(0, length)) {
+      EdgeFixture fixture;
+      RawUpstream& upstream = AddRestartedUpstream(fixture);
+      upstream.SetReplies({{status_line.substr(0, length) + failed}, Sealed("again")});
+      BOOST_TEST(fixture.Call("/order/1").value().status == 502);
+      BOOST_TEST(upstream.requests.size() == 1U);
+    }
+  }
+}
+
 // A request whose id differs from that of the copy may use the connection: it skips the copy.
 BOOST_AUTO_TEST_CASE(AnotherRequestSkipsTheCopy) {
   EdgeFixture fixture;
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -321,6 +321,12 @@
   co_return error;
 }
 
+// True if the status line holds another one: it was cut off, and the head of the next answer
+// follows, to which the status doesn't belong.
+bool HasJoinedStatusLine(const http::response_header<>& head) {
+  return head.reason().find("HTTP/1.") != boost::beast::string_view::npos;
+}
+
 // Reads and drops the body of an unmatched answer. A body without a length
 // fails, since it can't be separated from the next answer.
 asio::awaitable<error_code> SkipBody(std::shared_ptr<Connection> connection) {
@@ -435,6 +441,9 @@
     if (const auto read_error = co_await detail::ReadHead(current); read_error) {
       co_return current->Failure(current->write_error ? current->write_error : read_error);
     }
+    if (detail::HasJoinedStatusLine(current->parser->get())) {
+      co_return current->Failure(http::error::bad_reason);
+    }
     HttpResponse response;
     response.status = static_cast<int>(current->parser->get().result_int());
     response.headers = detail::CopyHeaders(current->parser->get());
--- a/src/transport/tests/http_test.cc
+++ b/src/transport/tests/http_test.cc
@@ -196,6 +196,22 @@
   }(*this));
 }
 
+// Guards against an answer whose status comes from a part of another one before it.
+BOOST_FIXTURE_TEST_CASE(AStatusLineWithinAnotherIsMalformed, Fixture) {
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    for (const std::string part : {"HTTP/1.1 421 ", "HTTP/1.1 421 Misdirected"}) {
+      asio::ip::tcp::acceptor acceptor(fixture.io, {asio::ip::make_address("127.0.0.1"), 0});
+      const Endpoint upstream("127.0.0.1", acceptor.local_endpoint().port());
+      std::string bytes = part + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      asio::co_spawn(fixture.io, ServeBytes(acceptor, std::move(bytes)), asio::detached);
+      HttpExchange exchange(fixture.pool, upstream, {});
+      const auto head = co_await exchange.Start(HttpRequest("GET", "/"), ConnectionPolicy::kFresh);
+      BOOST_TEST_REQUIRE(head.has_error());
+      BOOST_TEST((head.error().code == TransportErrorCode::kMalformedMessage));
+    }
+  }(*this));
+}
+
 // Guards against many answers below the limit of one that together exhaust the memory of the
 // process. Small answers are still read.
 BOOST_FIXTURE_TEST_CASE(LargeAnswersTogetherReachTheLimitOfThePool, Fixture) {
