transport: don't keep a connection after a HEAD request

Cause: an upstream refuses a HEAD request and sends the refusal once more, late. The request that uses the connection next skips the copy, as it has another id. But the client takes the copy's length for that of a body, and drops that many bytes of the answer which follows.

Fix: an answer to HEAD can't be told apart from one with a body once its request is over, so its connection is closed. The price is a new connection for each HEAD request.

--- a/src/edge/tests/edge_refusal_copy_test.cc
+++ b/src/edge/tests/edge_refusal_copy_test.cc
@@ -156,6 +156,28 @@
   BOOST_TEST(fixture.Call("/order/1").value().status == 502);
 }
 
+// Guards against an order that ran and whose answer is lost: its first bytes count as the body of a
+// refused HEAD request's copy, which has a length and no body.
+BOOST_AUTO_TEST_CASE(ACopyOfARefusalOfAHeadRequestDoesNotSwallowTheNextAnswer) {
+  for (const auto delay : kDelays) {
+    BOOST_TEST_CONTEXT(delay.count() << " ms") {
+      EdgeFixture fixture;
+      const Reply refusal{
+          "HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 20\r\n\r\n"};
+      RawUpstream& upstream =
+          fixture.AddUpstream({WithLateCopies(refusal, delay), Sealed("whole")});
+      const std::string refused = fixture.CallRaw(
+          "HEAD /lookup/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Key: key\r\nX-Id: head\r\n"
+          "Connection: close\r\n\r\n");
+      BOOST_TEST(refused.starts_with("HTTP/1.1 503"));
+      const auto answer = fixture.Call("/order/1").value();
+      BOOST_TEST(answer.status == 200);
+      BOOST_TEST(answer.body == "whole");
+      BOOST_TEST(upstream.requests.size() == 2U);
+    }
+  }
+}
+
 // Guards against an order that ran and is sent again: the status of a refusal that was cut off in
 // its status line counts as that of the answer which follows.
 BOOST_AUTO_TEST_CASE(APartOfARefusalIsNotTheStatusOfAnOrderThatRan) {
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -221,8 +221,11 @@
   }
 
   bool MayKeep() const {
+    // A second copy of an answer to HEAD can't be skipped: its length is that of a body which it
+    // doesn't have.
     return this->parser->get().keep_alive() && this->request_written && this->buffer.size() == 0 &&
-           this->socket.is_open() && this->history.unsuccessful.size() <= kMaxRememberedRequests;
+           this->socket.is_open() && !this->is_head &&
+           this->history.unsuccessful.size() <= kMaxRememberedRequests;
   }
 
   // Keeps the connection for another exchange when nothing is left on it.
