--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -67,7 +67,7 @@
   // Sets a hash of the request's id, which must be the same each time that the request is sent.
   // A peer may send an answer twice, and the id of the second one doesn't tell which send of the
   // request it belongs to. So the request uses no connection that has carried it before, unless
-  // the answer was a success, after which it isn't sent again.
+  // the answer had a 2xx status.
   void IdentifyRequest(std::uint64_t key);
   // Reads and drops answers for which `matches` returns false: a late
   // answer to an earlier request may come first on a kept connection.
