dispatch: keep brittle upstreams from falling over

Callers saw two thirds of their requests fail while the upstreams of a service said that they are brittle: each upstream that rejected more than N requests in a second fell over, and the retries and the load that it left made the others fall too.

Cause: instances fill an upstream to four times its slots by digests that are 0.2 s old or older, which needs waiting room, and retry rejected requests at the next brittle upstream.

Now a group of instances shares the slots of each brittle upstream. The members tell each other their load at 10 ms while it changes. Beyond its share an instance sends only where this shows room, and less often after each rejection that it made or was told of. Retries use shares only. A new process counts as brittle until it has answered.

--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/hash.h"
+#include "dispatch/brittle_upstreams.h"
 #include "dispatch/named_limits.h"
 
 namespace geraniumspread::dispatch {
@@ -68,6 +69,25 @@
                             request.now);
 }
 
+bool BrittleAllows(const SelectionRequest& request,
+                   std::optional<double> rejections_per_second,
+                   std::size_t upstreams,
+                   const Candidate& candidate) {
+  if (!rejections_per_second) {
+    return true;
+  }
+  BrittleSend send;
+  send.rejections_per_second = *rejections_per_second;
+  const std::size_t instances =
+      request.knows_fleet ? request.peer_hashes.size() + 1 : request.instances;
+  send.group = GroupOf(candidate.row->listing.slots, instances, upstreams);
+  send.own_rank = RendezvousRank(request, *candidate.row);
+  send.own_hash = request.own_hash;
+  send.running = candidate.running;
+  send.is_retry = !request.tried.empty();
+  return AdmitsBrittleSend(*candidate.row, send, request.now);
+}
+
 bool IsFull(const Upstream& upstream, std::uint32_t running, bool is_engine) {
   const std::uint32_t places = upstream.listing.slots * (is_engine ? 1 : kPlainQueueFactor);
   return running >= places;
@@ -206,6 +226,8 @@
       return "all_upstreams_want_a_pause";
     case SelectionFailure::kAllLimited:
       return "limits_of_upstreams_reached";
+    case SelectionFailure::kAllBrittleFull:
+      return "all_brittle_upstreams_full";
     case SelectionFailure::kAllCold:
       return "cold_limit_reached";
     case SelectionFailure::kAllUnreachable:
@@ -270,6 +292,7 @@
     selection.failure = std::max(selection.failure, step);
   };
   std::vector<Candidate> unreachable;
+  const std::optional<double> lowest_brittle = LowestBrittle(rows->second);
   for (const UpstreamRow& row : rows->second) {
     if (!TakesNewWork(table, *row)) {
       continue;
@@ -286,6 +309,9 @@
       reached(SelectionFailure::kAllPaused);
     } else if (!NamedLimitAllows(request, *row)) {
       reached(SelectionFailure::kAllLimited);
+    } else if (!BrittleAllows(request, RejectionLimit(*row, lowest_brittle), rows->second.size(),
+                              candidate)) {
+      reached(SelectionFailure::kAllBrittleFull);
     } else if (!ColdLimitAllows(settings, request, *row)) {
       reached(SelectionFailure::kAllCold);
     } else if (request.now < row->health.avoid_until) {
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -58,6 +58,7 @@
   if (auto known = table.dropped.extract({listing.id, listing.started_at_ms}); !known.empty()) {
     upstream.announced = known.mapped().announced;
     upstream.limit = std::move(known.mapped().limit);
+    upstream.brittle = known.mapped().brittle;
   }
   upstream.announced.leaving = upstream.announced.leaving || listing.draining;
 }
@@ -67,9 +68,11 @@
 void SaveAnnouncedState(UpstreamTable& table, const Upstream& upstream, TimePoint now) {
   const UpstreamListing& listing = upstream.listing;
   const bool has_announced = upstream.announced.leaving || IsPaused(upstream, now) ||
-                             upstream.limit.requests_per_second.has_value();
+                             upstream.limit.requests_per_second.has_value() ||
+                             upstream.brittle.rejections_per_second.has_value();
   if (has_announced && listing.started_at_ms != 0) {
-    table.dropped[{listing.id, listing.started_at_ms}] = {upstream.announced, upstream.limit, now};
+    table.dropped[{listing.id, listing.started_at_ms}] = {upstream.announced, upstream.limit,
+                                                          upstream.brittle, now};
   }
 }
 
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -69,6 +69,7 @@
   kAllTried,
   kAllPaused,
   kAllLimited,
+  kAllBrittleFull,
   kAllCold,
   kAllUnreachable,
   kAllFull,
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -78,6 +78,39 @@
   SlidingCount sends;
 };
 
+// Requests of one instance at a brittle upstream.
+struct GroupLoad {
+  std::uint32_t running = 0;
+  TimePoint at;
+};
+
+// What is known about an upstream that says it is brittle: it fails if it rejects too many requests
+// within a second, and may hold fewer waiting requests than usual.
+struct BrittleState {
+  // Rejections of requests from all instances that it survives in a second. Unset while it doesn't
+  // say that it is brittle.
+  std::optional<double> rejections_per_second;
+  // When the newest answer that this belief follows from arrived, here or at a peer.
+  TimePoint heard_at;
+  // True once an answer of this process arrived here or at a peer that told about it.
+  bool has_answered = false;
+  // When the newest known rejection arrived, here or at a peer.
+  TimePoint rejected_at;
+  // What peers were last told, by `heard_at`, and the number of messages that still carry it.
+  TimePoint told_at;
+  std::uint32_t sends_left = 0;
+  // Requests in flight of other instances of its group, by the hash of the instance.
+  std::unordered_map<std::uint64_t, GroupLoad> group_loads;
+  // Own load that the group was last told, and when.
+  std::uint32_t told_running = 0;
+  TimePoint running_told_at;
+  // When this instance last sent a request to the upstream.
+  TimePoint sent_at;
+  // Loans per second of all instances, at `rated_at`: requests beyond the shares.
+  double loan_rate = 0;
+  TimePoint rated_at;
+};
+
 struct Upstream {
   UpstreamListing listing;
   AnnouncedState announced;
@@ -102,6 +135,7 @@
   PromptCacheModel prompt_cache;
   SlidingCount cold_sends;
   NamedLimit limit;
+  BrittleState brittle;
 };
 
 // Load that the other instances have at one upstream.
@@ -116,6 +150,7 @@
 struct DroppedProcess {
   AnnouncedState announced;
   NamedLimit limit;
+  BrittleState brittle;
   TimePoint dropped_at;
 };
 
