edge: read Server-Brittle and tell the peers

The statement was dropped with the answer (and passed on to callers). It is now decoded under both names and kept from callers, goes to the peers in a datagram that earlier builds ignore, and ends with an answer without it to a request that was sent after the last one with it. While an upstream is brittle, the instances of its group tell each other their load there each 10 ms if it changed, and each half second otherwise. Changes are logged as `upstream_brittle` and `upstream_brittle_ended`, counted in `geranium_brittle_changes_total`, and shown on the status page.

Whole runs of edge_test failed in 1 to 26 cases with "the digest port can't be opened: Address already in use", as other suites ran on the same ports; run one by one, all 40 cases pass.

--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -116,6 +116,9 @@
   // Requests per second that the upstream accepts from all instances together, as long as its
   // responses say so.
   std::optional<double> requests_per_second;
+  // Set if the upstream says that it is brittle: it fails if it rejects more requests than this
+  // within a second, from all instances together.
+  std::optional<double> rejections_per_second;
   std::optional<std::uint32_t> running;
   std::optional<std::uint32_t> waiting;
   std::optional<Duration> cold_left;
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 
+#include "dispatch/brittle_upstreams.h"
 #include "dispatch/named_limits.h"
+#include "edge/internal/brittle_exchange.h"
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/event_splitter.h"
 #include "edge/internal/limit_exchange.h"
@@ -87,6 +89,7 @@
                                  RuntimeClock::now())) {
     LogLimitChange(upstream, run.request.id);
   }
+  ApplyBrittle(*run.edge, upstream, answer, run.request.id, sent_at);
   if (answer.retry_after) {
     dispatch::RecordPause(upstream, *answer.retry_after, RuntimeClock::now());
   }
@@ -339,6 +342,7 @@
   }
   ++run.sends;
   dispatch::RecordLimitedSend(upstream, now);
+  dispatch::RecordBrittleSend(upstream, now);
   upstream.cold_sends.times.push_back(now);
   dispatch::CountWithin(upstream.cold_sends, std::chrono::seconds(1), now);
   if (run.service.is_engine) {
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "edge/internal/brittle_exchange.h"
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/edge_state.h"
 #include "edge/internal/limit_exchange.h"
@@ -114,6 +115,7 @@
   SendDigests(*edge);
   TickCrashEvidence(*edge);
   SendLimitNews(*edge);
+  SendBrittleNews(edge);
   PullIfBehind(edge);
   PullRetained(edge);
   if (edge->stopping) {
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -51,7 +51,8 @@
         connections(context.get_executor()),
         digest_socket(context),
         tick_timer(context),
-        stop_timer(context) {}
+        stop_timer(context),
+        group_timer(context) {}
 
   boost::asio::io_context& io;
   EdgeSettings settings;
@@ -82,6 +83,8 @@
   // Since when some peer has newer published state than this instance.
   std::optional<TimePoint> behind_since;
   bool pulling = false;
+  // True while `group_timer` runs.
+  bool tells_groups = false;
   // Fingerprints of the retained items that were copied from peers in this era.
   std::bitset<256> merged_retained;
 
@@ -100,6 +103,8 @@
   boost::asio::ip::udp::socket digest_socket;
   RuntimeTimer tick_timer;
   RuntimeTimer stop_timer;
+  // Runs while an upstream is brittle.
+  RuntimeTimer group_timer;
   observability::Metrics metrics;
 
   bool stopping = false;
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -24,6 +24,7 @@
 // Texts that begin the other datagrams. A digest begins with a number.
 constexpr std::string_view kCrashEvidenceMarker = "crashes-1";
 constexpr std::string_view kLimitNewsMarker = "limits-1";
+constexpr std::string_view kBrittleNewsMarker = "brittle-1";
 constexpr std::string_view kOriginsMarker = "origins-1";
 constexpr std::size_t kMarkedFields = 2;
 constexpr double kThousand = 1000;
@@ -174,6 +175,24 @@
   return news;
 }
 
+dispatch::BrittleNews DecodeBrittleRow(const Cbor& row) {
+  dispatch::BrittleNews news;
+  news.upstream_key = Number<std::uint32_t>(row.at(0));
+  if (!row.at(1).is_null()) {
+    news.rejections_per_second = Number<std::uint32_t>(row.at(1)) / kThousand;
+  }
+  if (!row.at(2).is_null()) {
+    news.age = DecodeLongAge(row.at(2));
+  }
+  if (!row.at(3).is_null()) {
+    news.rejection_age = DecodeLongAge(row.at(3));
+  }
+  if (!row.at(4).is_null()) {
+    news.running = Number<std::uint32_t>(row.at(4));
+  }
+  return news;
+}
+
 StreamOrigin DecodeOriginRow(const Cbor& row) {
   return {Number<std::uint64_t>(row.at(0)), Number<std::uint64_t>(row.at(1))};
 }
@@ -377,6 +396,31 @@
   return DecodeMarked(bytes, kLimitNewsMarker, DecodeLimitRow);
 }
 
+// News of brittle upstreams is a CBOR array of a marker and one row an upstream: key, thousandths
+// of a rejection per second, age of the answer, age of the newest rejection, and requests of the
+// sender. All but the key may be null.
+std::string EncodeBrittleNews(const std::vector<dispatch::BrittleNews>& news) {
+  const auto encode_age = [](const std::optional<Duration>& age) {
+    return age ? Cbor(WholeMilliseconds(*age)) : Cbor(nullptr);
+  };
+  Cbor rows = Cbor::array();
+  for (const dispatch::BrittleNews& entry : news) {
+    const Cbor rate = entry.rejections_per_second
+                          ? Cbor(ToThousandths(*entry.rejections_per_second))
+                          : Cbor(nullptr);
+    const Cbor running = entry.running ? Cbor(*entry.running) : Cbor(nullptr);
+    rows.push_back(Cbor::array({entry.upstream_key, rate, encode_age(entry.age),
+                                encode_age(entry.rejection_age), running}));
+  }
+  std::string bytes;
+  Cbor::to_cbor(Cbor::array({kBrittleNewsMarker, std::move(rows)}), bytes);
+  return bytes;
+}
+
+std::optional<std::vector<dispatch::BrittleNews>> DecodeBrittleNews(std::string_view bytes) {
+  return DecodeMarked(bytes, kBrittleNewsMarker, DecodeBrittleRow);
+}
+
 // Origins are a CBOR array of a marker and one row a stream: stream, version.
 std::string EncodeOrigins(const std::vector<StreamOrigin>& origins) {
   Cbor rows = Cbor::array();
--- a/src/edge/internal/peer_codec.h
+++ b/src/edge/internal/peer_codec.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/brittle_upstreams.h"
 #include "dispatch/crash_quarantine.h"
 #include "dispatch/named_limits.h"
 #include "dispatch/peer_table.h"
@@ -25,6 +26,8 @@
 std::optional<std::vector<dispatch::CrashEvidence>> DecodeCrashEvidence(std::string_view bytes);
 std::string EncodeLimitNews(const std::vector<dispatch::LimitNews>& news);
 std::optional<std::vector<dispatch::LimitNews>> DecodeLimitNews(std::string_view bytes);
+std::string EncodeBrittleNews(const std::vector<dispatch::BrittleNews>& news);
+std::optional<std::vector<dispatch::BrittleNews>> DecodeBrittleNews(std::string_view bytes);
 
 // Version at which a stream began, both as hashes.
 using StreamOrigin = std::pair<std::uint64_t, std::uint64_t>;
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <limits>
 
+#include "edge/internal/brittle_exchange.h"
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/limit_exchange.h"
 #include "edge/internal/peer_codec.h"
@@ -182,7 +183,7 @@
     const auto digest = DecodeDigest(bytes);
     if (!digest && edge->peers.peers.contains(address) &&
         (ReceiveCrashEvidence(*edge, bytes, address) || ReceiveLimitNews(*edge, bytes, address) ||
-         ReceiveOrigins(*edge, bytes))) {
+         ReceiveBrittleNews(*edge, bytes, address) || ReceiveOrigins(*edge, bytes))) {
       continue;
     }
     // Accept a digest only from the address that it describes.
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -48,6 +48,9 @@
           {"requests_per_second", upstream.limit.requests_per_second
                                       ? json::value(*upstream.limit.requests_per_second)
                                       : json::value(nullptr)},
+          {"rejections_per_second", upstream.brittle.rejections_per_second
+                                        ? json::value(*upstream.brittle.rejections_per_second)
+                                        : json::value(nullptr)},
           {"wants_pause_ms", MillisecondsUntil(upstream.announced.pause_until, now)},
           {"removal_held", upstream.removal_at.has_value()},
           {"cold_left_ms", MillisecondsUntil(upstream.cold_until, now)},
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -98,6 +98,9 @@
   if (const auto limit = FindHeader(response.headers, "X-Limit"); !limit.empty()) {
     answer.requests_per_second = std::stod(std::string(limit));
   }
+  if (const auto brittle = FindHeader(response.headers, "X-Brittle"); !brittle.empty()) {
+    answer.rejections_per_second = std::stod(std::string(brittle));
+  }
   answer.caller_headers = response.headers;
   return answer;
 }
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -162,6 +162,43 @@
   BOOST_TEST(!DecodeLimitNews(EncodeCrashEvidence(SampleEvidence())).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(BrittleNewsIsReadBack) {
+  const std::string bytes = EncodeBrittleNews(
+      {{7, 2.5, 40ms, 30ms, 3}, {8, std::nullopt, 90s, std::nullopt, std::nullopt}, {9}});
+  const auto read = DecodeBrittleNews(bytes).value_or(std::vector<dispatch::BrittleNews>{});
+  BOOST_REQUIRE(read.size() == 3U);
+  BOOST_TEST(read[0].upstream_key == 7U);
+  BOOST_TEST(read[0].rejections_per_second.value_or(0) == 2.5);
+  BOOST_TEST((read[0].age == 40ms));
+  BOOST_TEST((read[0].rejection_age == 30ms));
+  BOOST_TEST(read[0].running.value_or(0) == 3U);
+  BOOST_TEST(!read[1].rejections_per_second.has_value());
+  BOOST_TEST((read[1].age == 90s));
+  BOOST_TEST(!read[1].rejection_age.has_value());
+  BOOST_TEST(!read[1].running.has_value());
+  BOOST_TEST(!read[2].age.has_value());
+  BOOST_TEST(!DecodeDigest(bytes).has_value());
+  BOOST_TEST(!DecodeLimitNews(bytes).has_value());
+  BOOST_TEST(!DecodeBrittleNews(EncodeLimitNews({})).has_value());
+}
+
+// Guards against a message that ends the process, and against ages that overflow.
+BOOST_AUTO_TEST_CASE(MalformedBrittleNewsIsDropped) {
+  const std::string good = EncodeBrittleNews(
+      {{7, 2.5, 40ms, 30ms, 3}, {8, std::nullopt, 90s, std::nullopt, std::nullopt}});
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 20'000; ++round) {
+    std::string bytes = good;
+    bytes[random() % bytes.size()] = static_cast<char>(random());
+    bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+    for (const auto& news :
+         DecodeBrittleNews(bytes).value_or(std::vector<dispatch::BrittleNews>{})) {
+      BOOST_TEST_REQUIRE((news.age.value_or(0ms) <= 24h));
+      BOOST_TEST_REQUIRE((news.rejection_age.value_or(0ms) <= 24h));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OriginsOfStreamsAreReadBack) {
   const std::vector<StreamOrigin> sent = {{1ULL << 60U, 7}, {2, 3}};
   const std::string bytes = EncodeOrigins(sent);
