edge: relay attempts through a peer while no upstream is reached

The instance now takes failures at two upstreams, or silence on kept connections, as a sign that its own path is lost, and confirms it by connects to up to four upstreams of different failure domains and services. While the path is lost, each attempt goes to a live peer of the region whose digest says that it reaches the upstreams. The peer passes bytes only; selection, limits, retries, the seal, resumption and "not run" stay with the instance. Only the peer's statement proves that nothing was sent; any other end is an unknown outcome.

Failures of a lost path are forgotten at the upstreams, and a refused connect proves a crash only if another upstream is reached.

--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -50,6 +50,9 @@
   std::optional<Duration> confirmation_age;
   // True if the sender watches the platform's store itself and reached it recently.
   bool reads_store = false;
+  // True if the sender sends requests of other instances to the upstreams and has no sign that it
+  // doesn't reach them. Earlier builds don't set it.
+  bool reaches_upstreams = false;
   std::vector<UpstreamLoad> loads;
   std::vector<ReportedLoad> reports;
   // Addresses of some other live instances.
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -39,6 +40,8 @@
   transport::Endpoint metrics_endpoint;
   // IP addresses of some instances; may be out of date.
   std::vector<std::string> seed_addresses;
+  // Region of each failure domain; empty if all are in one region.
+  std::map<std::string, std::string> regions;
   transport::Endpoint store_endpoint;
   dispatch::SelectionSettings selection;
   dispatch::RetryBudgetSettings retries;
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -7,6 +7,8 @@
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/event_splitter.h"
 #include "edge/internal/limit_exchange.h"
+#include "edge/internal/path_watch.h"
+#include "edge/internal/relay.h"
 #include "edge/internal/stream_resumption.h"
 
 namespace geraniumspread::edge::detail {
@@ -114,6 +116,19 @@
   }
 }
 
+// True if the failure may come from a lost path. While other upstreams answer, a missing answer
+// is the upstream's own.
+bool IsPathSign(const RequestRun& run,
+                const transport::TransportError& error,
+                const Attempt& attempt) {
+  if (error.code == TransportErrorCode::kTimedOut && attempt.result != AttemptResult::kNotSent) {
+    const dispatch::UpstreamPath& path = run.edge->path;
+    return RuntimeClock::now() - path.last_bytes_at >= path.settings.max_silence;
+  }
+  return attempt.connection_lost || (attempt.result == AttemptResult::kNotSent &&
+                                     error.code != TransportErrorCode::kCancelled);
+}
+
 Attempt MakeFailedAttempt(RequestRun& run,
                           dispatch::Upstream& upstream,
                           const transport::TransportError& error) {
@@ -121,16 +136,32 @@
   attempt.reason = std::string(transport::ToString(error.code)) + "_while_" +
                    std::string(transport::ToString(error.phase));
   const TimePoint now = RuntimeClock::now();
+  const bool not_sent = error.phase < ExchangePhase::kWritingRequest;
   if (run.stopped != StopReason::kNone) {
     attempt.result = AttemptResult::kStopped;
-  } else if (error.phase < ExchangePhase::kWritingRequest) {
-    attempt.result = AttemptResult::kNotSent;
+    return attempt;
+  }
+  attempt.result = not_sent ? AttemptResult::kNotSent : AttemptResult::kOutcomeUnknown;
+  if (!run.relay.empty()) {
+    attempt.reason.insert(0, "relay_");
+    return attempt;
+  }
+  attempt.connection_lost = !not_sent && error.code == TransportErrorCode::kConnectionClosed;
+  if (not_sent) {
+    run.unreached.push_back(upstream.listing.id);
+  }
+  if (IsPathLost(*run.edge)) {
+    // The failure tells nothing about the upstream.
+    return attempt;
+  }
+  if (not_sent) {
     dispatch::RecordConnectFailure(upstream.health, now);
   } else {
-    attempt.result = AttemptResult::kOutcomeUnknown;
-    attempt.connection_lost = error.code == TransportErrorCode::kConnectionClosed;
     dispatch::RecordAttemptFailure(upstream.health, now);
   }
+  if (IsPathSign(run, error, attempt)) {
+    RecordPathFailure(run.edge, upstream);
+  }
   return attempt;
 }
 
@@ -141,12 +172,21 @@
   bool connection_lost = false;
 };
 
+// Bytes that come through a peer say nothing about the own connections to the upstream.
+void RecordBytes(const RequestRun& run, dispatch::Upstream& upstream) {
+  if (run.relay.empty()) {
+    upstream.last_received_at = RuntimeClock::now();
+    RecordUpstreamBytes(*run.edge);
+  }
+}
+
 // Relays the rest of a stream.
 asio::awaitable<StreamEnd> RelayEvents(RequestRun& run,
                                        transport::HttpExchange& exchange,
                                        dispatch::RunningRequest& running,
                                        const transport::HttpResponse& head,
                                        const UpstreamAnswer& answer,
+                                       bool ends_with_connection,
                                        transport::HttpResponder& responder) {
   EventSplitter splitter;
   splitter.last_id = run.last_event_id;
@@ -161,7 +201,7 @@
       co_return StreamEnd{std::string(transport::ToString(bytes.error().code)), connection_lost};
     }
     const TimePoint now = RuntimeClock::now();
-    run.active_upstream->last_received_at = now;
+    RecordBytes(run, *run.active_upstream);
     const bool at_end = bytes.value().empty();
     const std::string events = ExtractEvents(splitter, bytes.value());
     if (splitter.too_large || !exchange.RecordBuffered(splitter.pending.size())) {
@@ -179,7 +219,7 @@
       run.edge->metrics.ObserveTime("geranium_pause_seconds", now - last_event_at);
     }
     last_event_at = now;
-    if (at_end && !first_event_at && events.empty() && exchange.EndsWithConnection()) {
+    if (at_end && !first_event_at && events.empty() && ends_with_connection) {
       // An upstream that crashes also ends the connection.
       co_return StreamEnd{"connection_closed_before_first_event", true};
     }
@@ -225,11 +265,13 @@
                                      dispatch::RunningRequest& running,
                                      const transport::HttpResponse& head,
                                      const UpstreamAnswer& answer,
+                                     bool ends_with_connection,
                                      transport::HttpResponder& responder) {
   Attempt attempt;
-  StreamEnd end = co_await RelayEvents(run, exchange, running, head, answer, responder);
+  StreamEnd end =
+      co_await RelayEvents(run, exchange, running, head, answer, ends_with_connection, responder);
   attempt.reason = std::move(end.failure);
-  attempt.connection_lost = end.connection_lost;
+  attempt.connection_lost = end.connection_lost && run.relay.empty();
   if (attempt.reason.empty()) {
     dispatch::RecordAttemptSuccess(upstream.health, RuntimeClock::now());
     attempt.result =
@@ -240,7 +282,12 @@
     attempt.result = AttemptResult::kStopped;
     co_return attempt;
   }
-  dispatch::RecordAttemptFailure(upstream.health, RuntimeClock::now());
+  if (run.relay.empty() && !IsPathLost(*run.edge)) {
+    dispatch::RecordAttemptFailure(upstream.health, RuntimeClock::now());
+    if (attempt.connection_lost) {
+      RecordPathFailure(run.edge, upstream);
+    }
+  }
   attempt.result =
       run.stream_started ? AttemptResult::kInterrupted : AttemptResult::kOutcomeUnknown;
   co_return attempt;
@@ -312,6 +359,11 @@
 transport::ConnectionPolicy PolicyOf(const RequestRun& run, const dispatch::Upstream& upstream) {
   const bool was_recently_active =
       upstream.last_received_at + kMaxIdleBeforeReuse >= RuntimeClock::now();
+  if (!run.relay.empty()) {
+    return run.route.repeatability == dispatch::Repeatability::kNonRepeatable
+               ? transport::ConnectionPolicy::kFresh
+               : transport::ConnectionPolicy::kReuse;
+  }
   const bool is_in_silent_domain = dispatch::IsInSilentDomain(run.edge->upstreams, upstream);
   const bool may_reuse =
       !is_in_silent_domain &&
@@ -356,6 +408,90 @@
   }
 }
 
+// The upstream, or the peer that relays the attempt.
+std::optional<transport::Endpoint> EndpointOf(const RequestRun& run,
+                                              const dispatch::Upstream& upstream) {
+  if (run.relay.empty()) {
+    return transport::ParseEndpoint(upstream.listing.address);
+  }
+  return transport::Endpoint(run.relay, run.edge->settings.peer_endpoint.port);
+}
+
+transport::HttpRequest EncodeAttempt(const RequestRun& run,
+                                     const dispatch::Candidate& chosen,
+                                     transport::ConnectionPolicy policy) {
+  transport::HttpRequest request =
+      run.edge->codec.encode_upstream_request(run.request, CallOf(run, chosen));
+  if (!run.relay.empty()) {
+    const dispatch::UpstreamListing& listing = chosen.row->listing;
+    AddRelayHeaders(request, {.upstream = listing.id,
+                              .address = listing.address,
+                              .started_at_ms = listing.started_at_ms,
+                              .request_id = run.request.id,
+                              .remaining = Remaining(run),
+                              .may_reuse = policy == transport::ConnectionPolicy::kReuse});
+  }
+  return request;
+}
+
+void RecordConnect(const RequestRun& run, const transport::HttpExchange& exchange) {
+  const auto connect_time = exchange.ConnectTime();
+  if (!connect_time || !run.relay.empty()) {
+    return;
+  }
+  run.edge->metrics.ObserveTime("geranium_connect_seconds", *connect_time);
+  RecordPathReached(*run.edge);
+}
+
+// Returns how an attempt failed that the peer did not relay, or whose answer can't be attributed
+// to the request. Only what the peer states proves that nothing was sent.
+std::optional<Attempt> MakeUnrelayedAttempt(const RequestRun& run,
+                                            const RelayStatement& statement,
+                                            const UpstreamAnswer& answer) {
+  using Result = RelayStatement::Result;
+  Attempt attempt;
+  attempt.result = AttemptResult::kOutcomeUnknown;
+  if (run.stopped != StopReason::kNone) {
+    attempt.result = AttemptResult::kStopped;
+  } else if (statement.result == Result::kNotSent) {
+    attempt.result = AttemptResult::kNotSent;
+  } else if (statement.result == Result::kRelayed) {
+    if (answer.echoed_request_id.empty() || answer.echoed_request_id == run.request.id) {
+      return std::nullopt;
+    }
+    attempt.reason = "answer_to_another_request";
+    return attempt;
+  }
+  attempt.reason = "relay_" + statement.reason;
+  return attempt;
+}
+
+// Corrects what was counted for an attempt without an answer.
+void RecordUnanswered(RequestRun& run,
+                      const dispatch::UpstreamRow& upstream,
+                      const Attempt& attempt,
+                      const RelayStatement& statement,
+                      bool is_unsent) {
+  if (is_unsent) {
+    --run.sends;
+    ++run.failed_connects;
+  }
+  if (run.relay.empty()) {
+    RecordOutcome(run, upstream, attempt);
+    return;
+  }
+  run.edge->metrics.Count("geranium_relay_failures_total", {{"result", ToString(attempt.result)}});
+  const bool is_peer_at_fault =
+      statement.is_unable || statement.result == RelayStatement::Result::kNone;
+  if (is_peer_at_fault) {
+    AvoidRelay(*run.edge, run.relay);
+  }
+  if (is_peer_at_fault && is_unsent) {
+    // Another peer may reach this upstream.
+    run.tried.pop_back();
+  }
+}
+
 }  // namespace
 
 std::string_view ToString(AttemptResult result) {
@@ -384,49 +520,56 @@
                                     dispatch::Candidate chosen,
                                     transport::HttpResponder& responder) {
   dispatch::Upstream& upstream = *chosen.row;
-  const auto endpoint = transport::ParseEndpoint(upstream.listing.address);
+  run.relay = ChooseRelay(*run.edge);
+  const auto endpoint = EndpointOf(run, upstream);
   run.tried.push_back(upstream.listing.id);
   if (!endpoint) {
     co_return Attempt{AttemptResult::kNotSent, "bad_address", std::nullopt};
   }
   dispatch::RunningRequest running(chosen.row, chosen.uncached_tokens);
-  const TimePoint sent_at = RuntimeClock::now();
+  run.sent_at = RuntimeClock::now();
   RecordSend(run, chosen);
   transport::HttpExchange exchange(run.edge->connections, *endpoint, TimeoutsOf(run));
   UpstreamAnswer answer;
   exchange.SkipUnmatchedAnswers([&](const transport::HttpResponse& head) {
     answer = run.edge->codec.decode_answer(head);
-    // On a reused connection an answer without an id may belong to an earlier request.
+    // On a reused connection an answer without an id may belong to an earlier request. A peer
+    // has dropped such answers already.
     const bool may_lack_id = !exchange.UsedPooledConnection();
-    return answer.echoed_request_id == run.request.id ||
+    return !run.relay.empty() || answer.echoed_request_id == run.request.id ||
            (may_lack_id && answer.echoed_request_id.empty());
   });
   run.active = &exchange;
   run.active_upstream = chosen.row;
-  transport::HttpRequest request =
-      run.edge->codec.encode_upstream_request(run.request, CallOf(run, chosen));
-  auto head = co_await exchange.Start(std::move(request), PolicyOf(run, upstream));
-  if (const auto connect_time = exchange.ConnectTime(); connect_time) {
-    run.edge->metrics.ObserveTime("geranium_connect_seconds", *connect_time);
-  }
+  const transport::ConnectionPolicy policy = PolicyOf(run, upstream);
+  transport::HttpRequest request = EncodeAttempt(run, chosen, policy);
+  auto head = co_await exchange.Start(std::move(request), policy);
+  RecordConnect(run, exchange);
+  RelayStatement relayed;
+  std::optional<Attempt> failed;
   if (!head) {
+    failed = MakeFailedAttempt(run, upstream, head.error());
+  } else if (!run.relay.empty()) {
+    relayed = TakeRelayStatement(head.value());
+    answer = run.edge->codec.decode_answer(head.value());
+    failed = MakeUnrelayedAttempt(run, relayed, answer);
+  }
+  if (failed) {
     run.active = nullptr;
-    const Attempt attempt = MakeFailedAttempt(run, upstream, head.error());
-    if (head.error().phase < ExchangePhase::kWritingRequest) {
-      --run.sends;
-      ++run.failed_connects;
-    }
-    RecordOutcome(run, chosen.row, attempt);
-    co_return attempt;
+    const bool is_unsent = head ? relayed.result == RelayStatement::Result::kNotSent
+                                : head.error().phase < ExchangePhase::kWritingRequest;
+    RecordUnanswered(run, chosen.row, *failed, relayed, is_unsent);
+    co_return std::move(*failed);
   }
-  upstream.last_received_at = RuntimeClock::now();
-  ApplyAvailability(run, upstream, answer, sent_at);
+  RecordBytes(run, upstream);
+  ApplyAvailability(run, upstream, answer, run.sent_at);
   ApplyLoadReport(run, upstream, answer);
   const bool is_success = head.value().status >= 200 && head.value().status < 300;
+  const bool ends_with_connection = exchange.EndsWithConnection() || relayed.ends_with_connection;
   Attempt attempt;
   if (run.route.is_stream && is_success && answer.is_sealed && !answer.has_content_encoding) {
-    attempt =
-        co_await RelayStream(run, upstream, exchange, running, head.value(), answer, responder);
+    attempt = co_await RelayStream(run, upstream, exchange, running, head.value(), answer,
+                                   ends_with_connection, responder);
   } else {
     attempt = co_await DeliverResponse(run, upstream, exchange, head.value(), answer, responder);
   }
--- a/src/edge/internal/crash_watch.cc
+++ b/src/edge/internal/crash_watch.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "edge/internal/path_watch.h"
 #include "edge/internal/peer_codec.h"
 #include "edge/internal/peer_exchange.h"
 
@@ -56,13 +57,27 @@
   SendCrashEvidence(edge);
 }
 
+// True if this instance reaches some upstream, or only knows one. If it reaches none, its own path
+// may be lost, and a refused connect proves no crash.
+asio::awaitable<bool> ReachesOthers(Edge edge, dispatch::UpstreamRow crashed) {
+  if (edge->path.state != dispatch::PathState::kReached) {
+    co_return false;
+  }
+  auto others = dispatch::ChooseProbedUpstreams(
+      edge->upstreams, edge->path.settings.checked_upstreams + 1, edge->random);
+  std::erase(others, crashed);
+  co_return others.empty() || co_await ReachesAny(edge, std::move(others));
+}
+
 asio::awaitable<void> CheckForCrash(Edge edge, dispatch::UpstreamRow upstream) {
   const auto endpoint = transport::ParseEndpoint(upstream->listing.address);
   const auto error =
       endpoint ? co_await transport::TryConnect(edge->io.get_executor(), *endpoint, kCheckTimeout)
                : std::nullopt;
+  const bool is_proof = error == transport::TransportErrorCode::kConnectFailed &&
+                        co_await ReachesOthers(edge, upstream);
   const auto lost = edge->lost_connections.extract(upstream);
-  if (error == transport::TransportErrorCode::kConnectFailed && !lost.empty()) {
+  if (is_proof && !lost.empty()) {
     RecordUpstreamCrash(*edge, *upstream, lost.mapped());
   }
 }
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -10,6 +10,7 @@
 #include "edge/internal/crash_watch.h"
 #include "edge/internal/edge_state.h"
 #include "edge/internal/limit_exchange.h"
+#include "edge/internal/path_watch.h"
 #include "edge/internal/peer_exchange.h"
 #include "edge/internal/published_feed.h"
 #include "edge/internal/request_run.h"
@@ -31,6 +32,9 @@
 // A longer gap between ticks means that the process was frozen.
 constexpr Duration kFreezeThreshold = std::chrono::milliseconds(700);
 
+// A relayed request has the caller's headers, those for the upstream and those for the peer.
+constexpr std::uint32_t kMaxAddedHeaderBytes = 8 * 1024;
+
 // CLOCK_BOOTTIME, unlike the steady clock, also runs while the machine is suspended.
 std::chrono::nanoseconds BootTime() {
   timespec now{};
@@ -48,6 +52,7 @@
     // Upstreams may have closed or reused the idle connections meanwhile.
     edge.connections.CloseIdle();
     dispatch::RecordStandstill(edge.freshness, now);
+    dispatch::RecordPathStandstill(edge.path, now);
     LogEvent(LogLevel::kWarn, "woke_after_standstill", {{"gap_ms", Milliseconds(gap)}});
   }
 }
@@ -73,7 +78,8 @@
   // retried at another instance at once, and requests in flight have time to finish.
   edge.caller_server->BeginDrain();
   edge.caller_server->CloseIdle();
-  const bool is_done = edge.caller_server->OpenConnections() == 0;
+  const bool is_done =
+      edge.caller_server->OpenConnections() == 0 && edge.peer_server->ActiveRequests() == 0;
   if ((is_done || now >= deadline) && edge.stopped) {
     LogEvent(LogLevel::kInfo, "stopped",
              {{"open_connections", edge.caller_server->OpenConnections()},
@@ -95,6 +101,7 @@
 
 void Tick(const Edge& edge) {
   DetectFreeze(*edge);
+  TickPath(edge);
   for (const std::string& peer :
        dispatch::ExpirePeers(edge->peers, edge->upstreams, RuntimeClock::now())) {
     LogEvent(LogLevel::kInfo, "peer", {{"peer", peer}, {"change", "silent"}});
@@ -151,9 +158,10 @@
 ResultOf<void, EdgeError> Listen(const Edge& edge,
                                  std::unique_ptr<transport::HttpServer>& server,
                                  const transport::Endpoint& endpoint,
-                                 Serve serve) {
+                                 Serve serve,
+                                 const transport::ServerLimits& limits = {}) {
   server = std::make_unique<transport::HttpServer>(
-      edge->io.get_executor(), transport::ServerLimits{},
+      edge->io.get_executor(), limits,
       [edge, serve](transport::HttpRequest request, transport::HttpResponder& responder) {
         return serve(edge, std::move(request), responder);
       });
@@ -190,7 +198,10 @@
   if (auto result = OpenDigestSocket(*edge); !result) {
     return result;
   }
-  if (auto result = Listen(edge, edge->peer_server, settings.peer_endpoint, ServePeerState);
+  transport::ServerLimits peer_limits;
+  peer_limits.max_header_bytes += kMaxAddedHeaderBytes;
+  if (auto result =
+          Listen(edge, edge->peer_server, settings.peer_endpoint, ServePeerState, peer_limits);
       !result) {
     return result;
   }
@@ -234,6 +245,8 @@
   }
   this->state->freshness.running_since = this->state->started_at;
   this->state->listings_followed_since = this->state->started_at;
+  this->state->path.last_bytes_at = this->state->started_at;
+  this->state->relays.regions = this->state->settings.regions;
   this->state->store_outage.min_duration = this->state->settings.min_store_outage;
   dispatch::RestoreRules& restore_rules = this->state->published.restore_rules;
   restore_rules.stated_version = this->state->codec.stated_version;
@@ -266,6 +279,7 @@
 void Edge::Reload(const EdgeSettings& settings) {
   EdgeSettings& current = this->state->settings;
   current.seed_addresses = settings.seed_addresses;
+  this->state->relays.regions = settings.regions;
   current.selection = settings.selection;
   current.retries = settings.retries;
   current.stop_grace = settings.stop_grace;
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -26,6 +26,7 @@
 #include "dispatch/send_limits.h"
 #include "dispatch/store_outage.h"
 #include "dispatch/stream_origins.h"
+#include "dispatch/upstream_path.h"
 #include "dispatch/upstream_table.h"
 #include "edge/edge_types.h"
 #include "observability/log.h"
@@ -72,6 +73,10 @@
   TimePoint quarantines_repeated_at;
   // Requests in flight.
   std::unordered_set<RequestRun*> runs;
+  dispatch::UpstreamPath path;
+  // Timers of requests that wait for the end of a check of the path.
+  std::unordered_set<RuntimeTimer*> waiting_for_path;
+  dispatch::RelayRules relays;
   dispatch::StoreOutage store_outage;
   bool feed_reachable = false;
   bool reads_store = false;
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -13,6 +13,7 @@
 #include "edge/internal/limit_exchange.h"
 #include "edge/internal/peer_codec.h"
 #include "edge/internal/published_feed.h"
+#include "edge/internal/relay.h"
 #include "edge/internal/stream_resumption.h"
 
 namespace geraniumspread::edge::detail {
@@ -69,6 +70,8 @@
   digest.retained_fingerprint = dispatch::RetainedFingerprint(edge.published);
   digest.confirmation_age = dispatch::ConfirmationAge(edge.freshness, RuntimeClock::now());
   digest.reads_store = edge.feed_reachable && edge.reads_store;
+  digest.reaches_upstreams = edge.path.state == dispatch::PathState::kReached && !edge.stopping &&
+                             !edge.upstreams.rows.empty();
   digest.loads = dispatch::OwnLoads(edge.upstreams);
   digest.reports = dispatch::OwnReports(edge.upstreams, RuntimeClock::now());
   digest.known_addresses = dispatch::AddressesToShare(edge.peers, edge.random, RuntimeClock::now());
@@ -275,6 +278,10 @@
 asio::awaitable<void> ServePeerState(Edge edge,
                                      transport::HttpRequest request,
                                      transport::HttpResponder& responder) {
+  if (IsRelayRequest(request)) {
+    co_await ServeRelay(edge, std::move(request), responder);
+    co_return;
+  }
   if (IsOriginRequest(request.target)) {
     transport::HttpResponse origin = AnswerOriginRequest(*edge, request.target);
     co_await responder.Send(std::move(origin));
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -8,6 +8,8 @@
 #include "dispatch/named_limits.h"
 #include "edge/internal/attempt.h"
 #include "edge/internal/crash_watch.h"
+#include "edge/internal/path_watch.h"
+#include "edge/internal/relay.h"
 #include "edge/internal/stream_resumption.h"
 
 namespace geraniumspread::edge::detail {
@@ -23,6 +25,8 @@
 // Limit of failed connects for one request; each takes up to the connect timeout.
 constexpr std::uint32_t kMaxFailedConnects = 4;
 constexpr std::uint32_t kMaxMisdirected = 2;
+// A request whose upstream was silent for this long when the path was lost gets no answer.
+constexpr Duration kMaxSilence = std::chrono::milliseconds(300);
 // A new process receives its first configuration within this time after its start.
 constexpr Duration kStartRetryAfter = std::chrono::milliseconds(500);
 // An upstream that is full or cold accepts more requests within about a second.
@@ -148,7 +152,8 @@
            "attempt",
            {{"request_id", run.request.id},
             {"route", run.route.name},
-            {"upstream", run.tried.back()},
+            {"upstream", selection.candidates.front().row->listing.id},
+            {"via", run.relay},
             {"attempt", run.sends},
             {"result", ToString(attempt.result)},
             {"reason", attempt.reason},
@@ -202,6 +207,19 @@
   return {kStatusUnavailable, code, std::move(reason), RunState::kNotRun, RetryAfter(run)};
 }
 
+// Once per request, lets it try the upstreams again that this instance could not reach, since it
+// now goes on through a peer.
+void ForgetFailedConnects(RequestRun& run) {
+  if (run.has_forgotten_connects || ChooseRelay(*run.edge).empty()) {
+    return;
+  }
+  run.has_forgotten_connects = true;
+  run.failed_connects = 0;
+  std::erase_if(run.tried, [&run](const std::string& upstream) {
+    return std::ranges::find(run.unreached, upstream) != run.unreached.end();
+  });
+}
+
 // Runs attempts until one delivers a response or no other is allowed.
 asio::awaitable<void> RunAttempts(RequestRun& run, transport::HttpResponder& responder) {
   const std::vector<std::uint64_t> peer_hashes = dispatch::PeerHashes(run.edge->peers);
@@ -235,6 +253,10 @@
     }
     code = ToString(attempt.result);
     reason = std::move(attempt.reason);
+    if (run.relay.empty()) {
+      co_await WaitForPathCheck(run.edge);
+      ForgetFailedConnects(run);
+    }
     failed_answer = std::move(attempt.answer);
     failed_answer_memory = std::move(attempt.answer_memory);
     if (!TryAcquireRetry(run, ran)) {
@@ -324,6 +346,24 @@
   }
 }
 
+void CancelDirectAttempts(EdgeState& edge) {
+  const TimePoint now = RuntimeClock::now();
+  if (ChooseRelay(edge).empty()) {
+    return;
+  }
+  for (RequestRun* run : edge.runs) {
+    if (run->active == nullptr || !run->relay.empty()) {
+      continue;
+    }
+    const bool is_connecting = run->active->Phase() == transport::ExchangePhase::kConnecting;
+    const bool is_silent =
+        std::max(run->sent_at, run->active_upstream->last_received_at) + kMaxSilence <= now;
+    if (is_connecting || (is_silent && CanFailOver(*run))) {
+      run->active->Cancel();
+    }
+  }
+}
+
 void CancelRun(RequestRun& run, StopReason reason) {
   if (run.stopped != StopReason::kNone) {
     return;
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -47,6 +47,13 @@
   StopReason stopped = StopReason::kNone;
   transport::HttpExchange* active = nullptr;
   dispatch::UpstreamRow active_upstream;
+  TimePoint sent_at;
+  // Address of the peer that relays the current attempt; empty for a direct one.
+  std::string relay;
+  // Upstreams that this instance could not reach itself.
+  std::vector<std::string> unreached;
+  // The failed connects were forgotten because the path was found lost.
+  bool has_forgotten_connects = false;
 
   // The headers of a streamed response were sent to the caller.
   bool stream_started = false;
@@ -63,6 +70,9 @@
 // Cancels the current attempts at upstreams of a failure domain that became silent, for
 // requests that can fail over to another upstream.
 void CancelAttemptsInDomain(EdgeState& edge, std::string_view failure_domain);
+// Cancels the current attempts at upstreams that this instance no longer reaches, if the request
+// was not sent or can fail over. Attempts whose upstream still sends bytes go on.
+void CancelDirectAttempts(EdgeState& edge);
 // True if the request may be sent to one more upstream when the last attempt ended with
 // `ran`. Takes a retry from the service's retry budget if the request was already sent.
 bool TryAcquireRetry(RequestRun& run, RunState ran);
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -19,6 +19,18 @@
   return Milliseconds(std::max(Duration{0}, time - now));
 }
 
+std::string_view ToString(dispatch::PathState state) {
+  switch (state) {
+    case dispatch::PathState::kReached:
+      return "reached";
+    case dispatch::PathState::kSuspected:
+      return "suspected";
+    case dispatch::PathState::kLost:
+      return "lost";
+  }
+  return "reached";
+}
+
 json::array NamesOf(const std::set<std::string, std::less<>>& names) {
   json::array list;
   for (const std::string& name : names) {
@@ -34,6 +46,7 @@
           {"live", dispatch::IsLive(edge.peers, peer, now)},
           {"leaving", peer.digest.leaving},
           {"reads_store", peer.digest.reads_store},
+          {"reaches_upstreams", peer.digest.reaches_upstreams},
           {"published_revision", peer.digest.published.revision},
           {"heard_ms_ago", Milliseconds(now - peer.last_digest_at)}};
 }
@@ -118,6 +131,7 @@
                    {"domains_out", NamesOf(edge.upstreams.domains_out_of_service)},
                    {"domains_silent", NamesOf(edge.upstreams.domains_silent)},
                    {"requests_waiting", edge.runs.size()},
+                   {"upstream_path", ToString(edge.path.state)},
                    {"quarantined", QuarantineRows(edge.crashes, now)},
                    {"peers", std::move(peers)},
                    {"upstreams", std::move(listed)}});
