edge: take connections that are reset when they open for a lost path

A new connection now counts once it brings an answer, and a probe keeps its connection open for 50 ms. A connection that was opened before the last failure shows nothing, since old ones may outlive the path.

--- a/src/dispatch/internal/upstream_path.cc
+++ b/src/dispatch/internal/upstream_path.cc
@@ -48,16 +48,23 @@
   return true;
 }
 
-bool RecordPathReached(UpstreamPath& path, TimePoint now) {
-  const PathState before = path.state;
-  path.state = PathState::kReached;
-  path.failures.clear();
+bool RecordPathReached(UpstreamPath& path, TimePoint connected_at, TimePoint now) {
   path.last_bytes_at = now;
-  if (before != PathState::kReached) {
-    path.changed_at = now;
-    path.no_check_before = now + path.settings.check_pause;
+  if (path.state == PathState::kReached) {
+    std::erase_if(path.failures, [connected_at](const UnreachedUpstream& failure) {
+      return failure.at <= connected_at;
+    });
+    return false;
   }
-  return before == PathState::kLost;
+  if (connected_at < path.changed_at) {
+    return false;
+  }
+  const bool was_lost = path.state == PathState::kLost;
+  path.state = PathState::kReached;
+  path.changed_at = now;
+  path.failures.clear();
+  path.no_check_before = now + path.settings.check_pause;
+  return was_lost;
 }
 
 bool RecordPathUnreached(UpstreamPath& path, TimePoint now) {
--- a/src/dispatch/tests/upstream_path_test.cc
+++ b/src/dispatch/tests/upstream_path_test.cc
@@ -70,7 +70,7 @@
 BOOST_FIXTURE_TEST_CASE(FailuresAtTwoUpstreamsAndAFailedCheckLoseThePath, Fixture) {
   this->Lose();
   BOOST_TEST((this->path.state == PathState::kLost));
-  BOOST_TEST(RecordPathReached(this->path, this->now));
+  BOOST_TEST(RecordPathReached(this->path, this->now, this->now));
   BOOST_TEST((this->path.state == PathState::kReached));
 }
 
@@ -95,10 +95,20 @@
 // Guards against counting failures of upstreams between which others were reached.
 BOOST_FIXTURE_TEST_CASE(AConnectBetweenTwoFailuresSeparatesThem, Fixture) {
   BOOST_TEST(!RecordPathFailure(this->path, "u1", kListed, this->now));
-  BOOST_TEST(!RecordPathReached(this->path, this->now));
+  BOOST_TEST(!RecordPathReached(this->path, this->now, this->now));
   BOOST_TEST(!RecordPathFailure(this->path, "u2", kListed, this->now));
 }
 
+// Connections that were opened before the cut may live on, and show nothing about new ones.
+BOOST_FIXTURE_TEST_CASE(AnAnswerOnAnOldConnectionRestoresNothing, Fixture) {
+  BOOST_TEST(!RecordPathFailure(this->path, "u1", kListed, this->now));
+  BOOST_TEST(!RecordPathReached(this->path, this->now - 10ms, this->now));
+  BOOST_TEST(RecordPathFailure(this->path, "u2", kListed, this->now));
+  BOOST_TEST(RecordPathUnreached(this->path, this->now));
+  BOOST_TEST(!RecordPathReached(this->path, this->now - 10ms, this->now + 50ms));
+  BOOST_TEST((this->path.state == PathState::kLost));
+}
+
 // A service whose upstreams are all gone lets every check succeed elsewhere; the checks must stay
 // few.
 BOOST_FIXTURE_TEST_CASE(ACheckThatSucceedsIsFollowedByAPause, Fixture) {
@@ -107,7 +117,7 @@
     const std::string upstream = step % 2 == 0 ? "u1" : "u2";
     if (RecordPathFailure(this->path, upstream, kListed, this->now)) {
       ++checks;
-      BOOST_TEST(!RecordPathReached(this->path, this->now + 1ms));
+      BOOST_TEST(!RecordPathReached(this->path, this->now, this->now + 1ms));
     }
   }
   BOOST_TEST(checks >= 3);
@@ -118,7 +128,7 @@
 BOOST_FIXTURE_TEST_CASE(AConnectDuringTheCheckKeepsThePath, Fixture) {
   std::ignore = RecordPathFailure(this->path, "u1", kListed, this->now);
   BOOST_TEST(RecordPathFailure(this->path, "u2", kListed, this->now));
-  BOOST_TEST(!RecordPathReached(this->path, this->now));
+  BOOST_TEST(!RecordPathReached(this->path, this->now, this->now));
   BOOST_TEST(!RecordPathUnreached(this->path, this->now));
   BOOST_TEST((this->path.state == PathState::kReached));
 }
--- a/src/dispatch/upstream_path.h
+++ b/src/dispatch/upstream_path.h
@@ -46,8 +46,8 @@
   UpstreamPathSettings settings;
   PathState state = PathState::kReached;
   TimePoint changed_at;
-  // The upstreams at which connects failed or connections were lost since the last successful
-  // connect, each with its last failure.
+  // The upstreams at which connects failed or connections were lost since the last new connection
+  // of use, each with its last failure.
   std::vector<UnreachedUpstream> failures;
   TimePoint no_check_before;
   TimePoint no_silence_probe_before;
@@ -65,8 +65,10 @@
                        TimePoint now);
 // Call when a probe failed after a silence. Returns true if a check must start.
 bool SuspectPath(UpstreamPath& path, TimePoint now);
-// Records a successful connect. Returns true if the path was lost until now.
-bool RecordPathReached(UpstreamPath& path, TimePoint now);
+// Records that a new connection to an upstream, opened at `connected_at` at the earliest, is of
+// use: it brought an answer or stayed open. Returns true if the path was lost until now. Says
+// nothing about failures after `connected_at`, since old connections may outlive the path.
+bool RecordPathReached(UpstreamPath& path, TimePoint connected_at, TimePoint now);
 // Records that a check reached none of several upstreams. Returns true if the path is lost from
 // now on; false if a request has reached an upstream since the check began.
 bool RecordPathUnreached(UpstreamPath& path, TimePoint now);
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -434,13 +434,17 @@
   return request;
 }
 
-void RecordConnect(const RequestRun& run, const transport::HttpExchange& exchange) {
+void RecordConnect(const RequestRun& run,
+                   const transport::HttpExchange& exchange,
+                   bool has_answer) {
   const auto connect_time = exchange.ConnectTime();
   if (!connect_time || !run.relay.empty()) {
     return;
   }
   run.edge->metrics.ObserveTime("geranium_connect_seconds", *connect_time);
-  RecordPathReached(*run.edge);
+  if (has_answer) {
+    RecordPathReached(*run.edge, run.sent_at);
+  }
 }
 
 // Returns how an attempt failed that the peer did not relay, or whose answer can't be attributed
@@ -544,7 +548,7 @@
   const transport::ConnectionPolicy policy = PolicyOf(run, upstream);
   transport::HttpRequest request = EncodeAttempt(run, chosen, policy);
   auto head = co_await exchange.Start(std::move(request), policy);
-  RecordConnect(run, exchange);
+  RecordConnect(run, exchange, head.has_value());
   RelayStatement relayed;
   std::optional<Attempt> failed;
   if (!head) {
--- a/src/edge/internal/path_watch.cc
+++ b/src/edge/internal/path_watch.cc
@@ -19,8 +19,10 @@
 
 // As for the connects of requests.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(200);
+// A path that is lost may still accept connections, and reset them at once.
+constexpr Duration kHoldTime = std::chrono::milliseconds(50);
 // A check that took longer than this stood still itself, and its timeouts prove nothing.
-constexpr Duration kMaxCheckTime = 2 * kProbeTimeout;
+constexpr Duration kMaxCheckTime = 2 * (kProbeTimeout + kHoldTime);
 
 struct Probe {
   explicit Probe(asio::io_context& io) : done(io) {}
@@ -34,7 +36,7 @@
                                Edge edge,
                                transport::Endpoint endpoint) {
   const auto error =
-      co_await transport::TryConnect(edge->io.get_executor(), endpoint, kProbeTimeout);
+      co_await transport::TryConnect(edge->io.get_executor(), endpoint, kProbeTimeout, kHoldTime);
   edge->metrics.Count("geranium_path_probes_total", {{"result", error ? "failed" : "reached"}});
   --probe->pending;
   probe->reached = probe->reached || !error;
@@ -79,7 +81,7 @@
   const bool reached = co_await ReachesAny(edge, upstreams);
   const TimePoint now = RuntimeClock::now();
   if (reached) {
-    RecordPathReached(*edge);
+    RecordPathReached(*edge, began);
   } else if (now - began > kMaxCheckTime || upstreams.empty()) {
     dispatch::RecordPathUnchecked(edge->path, now);
   } else if (dispatch::RecordPathUnreached(edge->path, now)) {
@@ -105,8 +107,9 @@
   if (upstreams.empty()) {
     co_return;
   }
+  const TimePoint began = RuntimeClock::now();
   if (co_await ReachesAny(edge, upstreams)) {
-    RecordPathReached(*edge);
+    RecordPathReached(*edge, began);
     co_return;
   }
   if (dispatch::SuspectPath(edge->path, RuntimeClock::now())) {
@@ -116,8 +119,9 @@
 
 asio::awaitable<void> ProbeRecovery(Edge edge) {
   const auto upstreams = ChooseProbed(*edge, 1);
+  const TimePoint began = RuntimeClock::now();
   if (upstreams.empty() || co_await ReachesAny(edge, upstreams)) {
-    RecordPathReached(*edge);
+    RecordPathReached(*edge, began);
   }
 }
 
@@ -142,10 +146,10 @@
   }
 }
 
-void RecordPathReached(EdgeState& edge) {
+void RecordPathReached(EdgeState& edge, TimePoint connected_at) {
   const TimePoint now = RuntimeClock::now();
   const TimePoint since = edge.path.changed_at;
-  if (!dispatch::RecordPathReached(edge.path, now)) {
+  if (!dispatch::RecordPathReached(edge.path, connected_at, now)) {
     return;
   }
   LogEvent(LogLevel::kInfo, "upstream_path_restored", {{"lost_ms", Milliseconds(now - since)}});
--- a/src/edge/internal/path_watch.h
+++ b/src/edge/internal/path_watch.h
@@ -13,8 +13,9 @@
 
 // Records a failed connect to an upstream, or a connection to it that was lost or stayed silent.
 void RecordPathFailure(const Edge& edge, const dispatch::Upstream& upstream);
-// Records a successful connect to an upstream.
-void RecordPathReached(EdgeState& edge);
+// Records that a new connection to an upstream, opened at `connected_at` at the earliest, is of
+// use.
+void RecordPathReached(EdgeState& edge, TimePoint connected_at);
 inline void RecordUpstreamBytes(EdgeState& edge) {
   edge.path.last_bytes_at = RuntimeClock::now();
 }
--- a/src/edge/internal/relay.cc
+++ b/src/edge/internal/relay.cc
@@ -259,15 +259,15 @@
       current->Cancel();
     }
   });
+  const TimePoint began = RuntimeClock::now();
   auto head = co_await exchange->Start(
       std::move(request),
       call.may_reuse ? transport::ConnectionPolicy::kReuse : transport::ConnectionPolicy::kFresh);
-  if (exchange->ConnectTime()) {
-    RecordPathReached(*edge);
-  }
   if (!head) {
     const bool not_sent = head.error().phase < ExchangePhase::kWritingRequest;
-    if (not_sent && head.error().code != transport::TransportErrorCode::kCancelled) {
+    const auto code = head.error().code;
+    if (code == transport::TransportErrorCode::kConnectionClosed ||
+        (not_sent && code != transport::TransportErrorCode::kCancelled)) {
       RecordPathFailure(edge, *upstream);
     }
     std::string reason = std::string(transport::ToString(head.error().code)) + "_while_" +
@@ -277,6 +277,9 @@
   }
   upstream->last_received_at = RuntimeClock::now();
   RecordUpstreamBytes(*edge);
+  if (exchange->ConnectTime()) {
+    RecordPathReached(*edge, began);
+  }
   co_await RelayAnswer(edge, call, upstream, exchange, std::move(head).value(), responder);
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -82,9 +82,13 @@
   std::shared_ptr<detail::Connection> connection;
 };
 
-// Opens a connection and closes it again. Returns the error if that fails.
-boost::asio::awaitable<std::optional<TransportErrorCode>>
-TryConnect(boost::asio::any_io_executor executor, Endpoint endpoint, Duration timeout);
+// Opens a connection and closes it again after `hold_time`. Returns the error if that fails, also
+// if the other end closes it before.
+boost::asio::awaitable<std::optional<TransportErrorCode>> TryConnect(
+    boost::asio::any_io_executor executor,
+    Endpoint endpoint,
+    Duration timeout,
+    Duration hold_time = Duration{0});
 
 // Sends a request and reads the whole answer.
 boost::asio::awaitable<Result<HttpResponse>> Fetch(HttpConnectionPool& pool,
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -455,8 +455,11 @@
   }
 }
 
-boost::asio::awaitable<std::optional<TransportErrorCode>>
-TryConnect(boost::asio::any_io_executor executor, Endpoint endpoint, Duration timeout) {
+boost::asio::awaitable<std::optional<TransportErrorCode>> TryConnect(
+    boost::asio::any_io_executor executor,
+    Endpoint endpoint,
+    Duration timeout,
+    Duration hold_time) {
   detail::Tcp::socket socket(executor);
   detail::Deadline deadline(executor, socket);
   boost::system::error_code error;
@@ -473,6 +476,15 @@
   if (error) {
     co_return TransportErrorCode::kConnectFailed;
   }
+  if (hold_time > Duration{0}) {
+    char byte = 0;
+    deadline.Arm(hold_time);
+    std::tie(error, std::ignore) =
+        co_await socket.async_read_some(boost::asio::buffer(&byte, 1), detail::kAwaitTuple);
+    if (error && !deadline.Expired()) {
+      co_return TransportErrorCode::kConnectionClosed;
+    }
+  }
   co_return std::nullopt;
 }
 
