edge: a suspicion alone doesn't stop an instance's relays

Cause: each failed connect at two upstreams makes an instance suspect its own path. While it checks, it took the flag "reaches upstreams" out of its digest and refused to relay. Restarts made all peers suspect theirs again and again.

Only a path that is found lost stops the relays now. A peer whose path is lost but not found so yet states "not sent" after its connect fails, and the instance tries another.

--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -71,7 +71,7 @@
   digest.retained_fingerprint = dispatch::RetainedFingerprint(edge.published);
   digest.confirmation_age = dispatch::ConfirmationAge(edge.freshness, RuntimeClock::now());
   digest.reads_store = edge.feed_reachable && edge.reads_store;
-  digest.reaches_upstreams = edge.path.state == dispatch::PathState::kReached && !edge.stopping &&
+  digest.reaches_upstreams = edge.path.state != dispatch::PathState::kLost && !edge.stopping &&
                              !edge.upstreams.rows.empty();
   digest.loads = dispatch::OwnLoads(edge.upstreams);
   digest.reports = dispatch::OwnReports(edge.upstreams, RuntimeClock::now());
--- a/src/edge/internal/relay.cc
+++ b/src/edge/internal/relay.cc
@@ -87,7 +87,7 @@
   if (edge.stopping) {
     return kStopping;
   }
-  if (edge.path.state != dispatch::PathState::kReached) {
+  if (edge.path.state == dispatch::PathState::kLost) {
     return kNoPath;
   }
   if (upstream == nullptr) {
