edge tests: the fixture's upstream in short coroutines

The linter didn't end within 460 s on edge_fixture.cc since the upstream of the tests sends late copies: its analyzer follows all ways through one long coroutine. The same steps are now functions of their own.

--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -233,6 +233,64 @@
   return bytes.size() >= end + 4 + body ? end + 4 + body : 0;
 }
 
+// Returns the next reply. The last one stays.
+Reply TakeReply(std::deque<Reply>& pending) {
+  Reply reply = pending.front();
+  if (pending.size() > 1) {
+    pending.pop_front();
+  }
+  return reply;
+}
+
+// Bytes that are sent once more when the next request has come on a connection.
+struct LateCopy {
+  std::string bytes;
+  std::chrono::milliseconds by{0};
+};
+
+asio::awaitable<void> Sleep(tcp::socket& socket, std::chrono::milliseconds time) {
+  asio::steady_timer timer(socket.get_executor());
+  timer.expires_after(time);
+  co_await timer.async_wait(kAwait);
+}
+
+// Sends a late copy that comes alone.
+asio::awaitable<void> SendLateCopy(tcp::socket& socket, LateCopy& copy) {
+  if (copy.bytes.empty() || copy.by.count() == 0) {
+    co_return;
+  }
+  co_await Sleep(socket, copy.by);
+  co_await asio::async_write(socket, asio::buffer(copy.bytes), kAwait);
+  co_await Sleep(socket, copy.by);
+  copy.bytes.clear();
+}
+
+asio::awaitable<void> SendEndless(tcp::socket& socket, const Reply& reply) {
+  boost::system::error_code error;
+  while (!reply.endless.empty() && !error) {
+    std::size_t count = 0;
+    std::tie(error, count) =
+        co_await asio::async_write(socket, asio::buffer(reply.endless), kAwait);
+    co_await Sleep(socket, reply.pause);
+  }
+}
+
+// Returns false if the connection ends with the reply.
+asio::awaitable<bool> SendReply(tcp::socket& socket,
+                                const Reply& reply,
+                                const std::string& request,
+                                LateCopy& copy) {
+  co_await SendLateCopy(socket, copy);
+  const std::string bytes = copy.bytes + WithId(reply.bytes, request);
+  copy = {WithId(reply.late_copy, request), reply.late_by};
+  co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
+  co_await SendEndless(socket, reply);
+  if (reply.then == Reply::Then::kReset) {
+    socket.set_option(tcp::socket::linger(true, 0));
+  }
+  co_return reply.then == Reply::Then::kKeep;
+}
+
 }  // namespace
 
 Reply Sealed(const std::string& body, int status) {
@@ -311,8 +369,7 @@
 asio::awaitable<void> RawUpstream::Serve(std::shared_ptr<tcp::socket> connection) {
   tcp::socket& socket = *connection;
   std::string received;
-  std::string late_copy;
-  std::chrono::milliseconds late_by{0};
+  LateCopy copy;
   std::array<char, 4096> chunk{};
   boost::system::error_code error;
   while (!error) {
@@ -330,36 +387,8 @@
       this->Crash();
       co_return;
     }
-    const Reply reply = this->pending.front();
-    if (this->pending.size() > 1) {
-      this->pending.pop_front();
-    }
-    if (reply.is_silent) {
-      continue;
-    }
-    asio::steady_timer pause(socket.get_executor());
-    if (!late_copy.empty() && late_by.count() > 0) {
-      pause.expires_after(late_by);
-      co_await pause.async_wait(kAwait);
-      co_await asio::async_write(socket, asio::buffer(late_copy), kAwait);
-      pause.expires_after(late_by);
-      co_await pause.async_wait(kAwait);
-      late_copy.clear();
-    }
-    const std::string bytes = late_copy + WithId(reply.bytes, this->requests.back());
-    late_copy = WithId(reply.late_copy, this->requests.back());
-    late_by = reply.late_by;
-    co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
-    while (!reply.endless.empty() && !error) {
-      std::tie(error, count) =
-          co_await asio::async_write(socket, asio::buffer(reply.endless), kAwait);
-      pause.expires_after(reply.pause);
-      co_await pause.async_wait(kAwait);
-    }
-    if (reply.then == Reply::Then::kReset) {
-      socket.set_option(tcp::socket::linger(true, 0));
-    }
-    if (reply.then != Reply::Then::kKeep) {
+    const Reply reply = TakeReply(this->pending);
+    if (!reply.is_silent && !co_await SendReply(socket, reply, this->requests.back(), copy)) {
       co_return;
     }
   }
