edge: relayed and direct attempts share their timeouts and checks

Cause: the relay had copies of what attempts already had: the connect and write timeouts (the connect timeout a third time in path_watch.cc), the check whether an answer belongs to the request, and the text of a failure. A comparison of header prefixes was written by hand beside Beast's iequals, and each header of a relayed answer was copied to compare its name.

Now attempt.h declares them once and the relay and the path watch call them. Behaviour is unchanged.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -23,10 +23,6 @@
 using transport::ExchangePhase;
 using transport::TransportErrorCode;
 
-// Covers a lost SYN packet only on a short path. A failed connect has sent nothing, so
-// another upstream can take the request.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
-constexpr Duration kWriteTimeout = std::chrono::seconds(2);
 // Limit for responses that are not streamed, since those are buffered whole.
 constexpr std::size_t kMaxAnswerBytes = std::size_t{4} << 20U;
 // A repeatable request waits this multiple of its latency goal for the first byte before
@@ -102,8 +98,7 @@
                           dispatch::Upstream& upstream,
                           const transport::TransportError& error) {
   Attempt attempt;
-  attempt.reason = std::string(transport::ToString(error.code)) + "_while_" +
-                   std::string(transport::ToString(error.phase));
+  attempt.reason = DescribeFailure(error);
   const TimePoint now = RuntimeClock::now();
   const bool not_sent = error.phase < ExchangePhase::kWritingRequest;
   if (run.stopped != StopReason::kNone) {
@@ -490,6 +485,18 @@
   return "stopped";
 }
 
+std::string DescribeFailure(const transport::TransportError& error) {
+  return std::string(transport::ToString(error.code)) + "_while_" +
+         std::string(transport::ToString(error.phase));
+}
+
+bool IsAnswerTo(const UpstreamAnswer& answer,
+                std::string_view request_id,
+                const transport::HttpExchange& exchange) {
+  return answer.echoed_request_id == request_id ||
+         (!exchange.UsedPooledConnection() && answer.echoed_request_id.empty());
+}
+
 void ApplyAvailability(EdgeState& edge,
                        const std::string& request_id,
                        dispatch::Upstream& upstream,
@@ -544,11 +551,8 @@
   UpstreamAnswer answer;
   exchange.SkipUnmatchedAnswers([&](const transport::HttpResponse& head) {
     answer = run.edge->codec.decode_answer(head);
-    // On a reused connection an answer without an id may belong to an earlier request. A peer
-    // has dropped such answers already.
-    const bool may_lack_id = !exchange.UsedPooledConnection();
-    return !run.relay.empty() || answer.echoed_request_id == run.request.id ||
-           (may_lack_id && answer.echoed_request_id.empty());
+    // A peer has dropped the answers to other requests already.
+    return !run.relay.empty() || IsAnswerTo(answer, run.request.id, exchange);
   });
   run.active = &exchange;
   run.active_upstream = chosen.row;
--- a/src/edge/internal/attempt.h
+++ b/src/edge/internal/attempt.h
@@ -40,6 +40,19 @@
   bool connection_lost = false;
 };
 
+// Covers a lost SYN packet only on a short path. A failed connect has sent nothing, so
+// another upstream can take the request.
+inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
+inline constexpr Duration kWriteTimeout = std::chrono::seconds(2);
+
+// Describes the failure as "<code>_while_<phase>", for log lines.
+std::string DescribeFailure(const transport::TransportError& error);
+// True if the exchange may take this answer for that to the request. On a reused connection an
+// answer without an id may belong to an earlier request.
+bool IsAnswerTo(const UpstreamAnswer& answer,
+                std::string_view request_id,
+                const transport::HttpExchange& exchange);
+
 // Applies what the upstream reports about its availability: that it is shutting down, rejects
 // requests for a time, or accepts a limited rate. Ignores responses of other processes.
 void ApplyAvailability(EdgeState& edge,
--- a/src/edge/internal/path_watch.cc
+++ b/src/edge/internal/path_watch.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "edge/internal/attempt.h"
 #include "edge/internal/peer_exchange.h"
 #include "edge/internal/request_run.h"
 
@@ -17,12 +18,10 @@
 using observability::LogEvent;
 using observability::LogLevel;
 
-// As for the connects of requests.
-constexpr Duration kProbeTimeout = std::chrono::milliseconds(200);
 // A path that is lost may still accept connections, and reset them at once.
 constexpr Duration kHoldTime = std::chrono::milliseconds(50);
 // A check that took longer than this stood still itself, and its timeouts prove nothing.
-constexpr Duration kMaxCheckTime = 2 * (kProbeTimeout + kHoldTime);
+constexpr Duration kMaxCheckTime = 2 * (kConnectTimeout + kHoldTime);
 
 struct Probe {
   explicit Probe(asio::io_context& io) : done(io) {}
@@ -36,7 +35,7 @@
                                Edge edge,
                                transport::Endpoint endpoint) {
   const auto error =
-      co_await transport::TryConnect(edge->io.get_executor(), endpoint, kProbeTimeout, kHoldTime);
+      co_await transport::TryConnect(edge->io.get_executor(), endpoint, kConnectTimeout, kHoldTime);
   edge->metrics.Count("geranium_path_probes_total", {{"result", error ? "failed" : "reached"}});
   --probe->pending;
   probe->reached = probe->reached || !error;
--- a/src/edge/internal/relay.cc
+++ b/src/edge/internal/relay.cc
@@ -1,6 +1,7 @@
 #include "edge/internal/relay.h"
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <charconv>
 
 #include "common/hash.h"
@@ -11,6 +12,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using boost::beast::iequals;
 using observability::LogEvent;
 using observability::LogLevel;
 using transport::ExchangePhase;
@@ -38,20 +40,12 @@
 constexpr std::string_view kNoPath = "no_path";
 constexpr std::string_view kStopping = "stopping";
 
-// As for direct attempts.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
-constexpr Duration kWriteTimeout = std::chrono::seconds(2);
 constexpr Duration kAvoidTime = std::chrono::seconds(2);
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
 
 bool IsRelayHeader(const HttpHeader& header) {
-  return header.name.size() >= kPrefix.size() &&
-         std::ranges::equal(
-             std::string_view(header.name).substr(0, kPrefix.size()), kPrefix, {}, [](char letter) {
-               return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a')
-                                                     : letter;
-             });
+  return iequals(std::string_view(header.name).substr(0, kPrefix.size()), kPrefix);
 }
 
 void RemoveRelayHeaders(HttpHeaders& headers) {
@@ -131,9 +125,8 @@
 // Headers of the upstream's head for the instance. Keep-Alive concerns one connection only.
 HttpHeaders HeadersToRelay(HttpHeaders headers, bool ends_with_connection) {
   RemoveRelayHeaders(headers);
-  std::erase_if(headers, [](const HttpHeader& header) {
-    return !FindHeader({header}, "Keep-Alive").empty();
-  });
+  std::erase_if(headers,
+                [](const HttpHeader& header) { return iequals(header.name, "Keep-Alive"); });
   headers.push_back({std::string(kResult), std::string(kRelayed)});
   if (ends_with_connection) {
     headers.push_back({std::string(kEnd), std::string(kWithConnection)});
@@ -259,9 +252,7 @@
   exchange->IdentifyRequest(StableHash(call.request_id));
   exchange->SkipUnmatchedAnswers(
       [&edge, &call, current = exchange.get()](const transport::HttpResponse& head) {
-        const std::string echoed = edge->codec.decode_answer(head).echoed_request_id;
-        // On a reused connection an answer without an id may belong to an earlier request.
-        return echoed == call.request_id || (!current->UsedPooledConnection() && echoed.empty());
+        return IsAnswerTo(edge->codec.decode_answer(head), call.request_id, *current);
       });
   responder.OnDisconnect([weak = std::weak_ptr(exchange)] {
     if (const auto current = weak.lock(); current) {
@@ -279,8 +270,7 @@
         (not_sent && code != transport::TransportErrorCode::kCancelled)) {
       RecordPathFailure(edge, *upstream);
     }
-    std::string reason = std::string(transport::ToString(head.error().code)) + "_while_" +
-                         std::string(transport::ToString(head.error().phase));
+    std::string reason = DescribeFailure(head.error());
     co_await SendFailure(*edge, call, not_sent ? kNotSent : kFailed, std::move(reason), responder);
     co_return;
   }
