dispatch: one belief for the rates that upstreams state

Cause: the limit that an upstream names and the rejections that a brittle one survives are the same kind of belief: stated in answers, ended by a later answer without it, told to peers twice after a change and again after two seconds. brittle_upstreams.cc had written that again beside named_limits.cc.

StatedRate and internal/stated_rate.h now hold it, and both call them. Behaviour is unchanged; two tests read the renamed field.

--- a/src/dispatch/internal/brittle_upstreams.cc
+++ b/src/dispatch/internal/brittle_upstreams.cc
@@ -7,14 +7,11 @@
 #include <utility>
 
 #include "common/hash.h"
+#include "dispatch/internal/stated_rate.h"
 
 namespace geraniumspread::dispatch {
 namespace {
 
-// A change goes into two messages, so that a lost datagram doesn't delay it.
-constexpr std::uint32_t kSendsAfterChange = 2;
-// An unchanged belief is told again when the last answer that peers know of is this old.
-constexpr Duration kRefreshInterval = std::chrono::seconds(2);
 // A row takes up to 30 bytes, and a datagram holds 1400.
 constexpr std::size_t kMaxSentNews = 40;
 constexpr Duration kRejectionNewsLifetime = std::chrono::seconds(2);
@@ -41,8 +38,7 @@
 constexpr double kRejectionHoldSeconds = 1.6;
 constexpr Duration kMinRejectionHold = std::chrono::milliseconds(50);
 constexpr Duration kMaxRejectionHold = std::chrono::seconds(1);
-// After a known rejection no loans are taken for this time, divided likewise. The figures here were
-// chosen by the simulation in tests/brittle_upstreams_test.cc.
+// After a known rejection no loans are taken for this time, divided likewise.
 constexpr double kLoanPauseSeconds = 6;
 // Without a rejection the rate of loans doubles in this time, divided by the rejections per
 // second; a rejection divides it.
@@ -72,27 +68,20 @@
 
 void RecordRejectionAt(BrittleState& brittle, TimePoint rejected_at, TimePoint now) {
   constexpr double kMaxRate = 1000;
-  const double limit = std::max(brittle.rejections_per_second.value_or(1), kMinLimit);
+  const double limit = std::max(brittle.rejections.per_second.value_or(1), kMinLimit);
   brittle.loan_rate = std::min(LoanRate(brittle, limit, now), kMaxRate) / kLoanRateDivisor;
   brittle.rated_at = now;
   brittle.rejected_at = rejected_at;
-  brittle.sends_left = kSendsAfterChange;
+  brittle.rejections.sends_left = detail::kSendsAfterChange;
 }
 
-void Update(BrittleState& brittle, std::optional<double> limit, TimePoint heard_at) {
-  const bool is_change = brittle.rejections_per_second != limit;
-  brittle.rejections_per_second = limit;
-  brittle.heard_at = heard_at;
-  brittle.has_answered = true;
-  if (is_change) {
-    brittle.sends_left = kSendsAfterChange;
-    brittle.told_at = heard_at;
-    brittle.loan_rate = 0;
-    brittle.rated_at = heard_at;
-  } else if (limit && brittle.told_at + kRefreshInterval <= heard_at) {
-    brittle.sends_left = std::max(brittle.sends_left, 1U);
-    brittle.told_at = heard_at;
-  }
+StatedRate& RateOf(Upstream& upstream) {
+  return upstream.brittle.rejections;
+}
+
+void ResetLoans(BrittleState& brittle) {
+  brittle.loan_rate = 0;
+  brittle.rated_at = brittle.rejections.heard_at;
 }
 
 // True in randomly chosen intervals, in a number that gives this instance its part of `rate`.
@@ -111,9 +100,9 @@
   const BrittleState& brittle = upstream.brittle;
   BrittleNews news;
   news.upstream_key = DigestKey(upstream);
-  news.rejections_per_second = brittle.rejections_per_second;
-  if (brittle.heard_at != TimePoint{}) {
-    news.age = now - brittle.heard_at;
+  news.rejections_per_second = brittle.rejections.per_second;
+  if (brittle.rejections.heard_at != TimePoint{}) {
+    news.age = now - brittle.rejections.heard_at;
   }
   if (brittle.rejected_at + kRejectionNewsLifetime >= now) {
     news.rejection_age = now - brittle.rejected_at;
@@ -183,12 +172,13 @@
                    TimePoint sent_at,
                    TimePoint now) {
   BrittleState& brittle = upstream.brittle;
-  const auto before = brittle.rejections_per_second;
   brittle.has_answered = true;
-  if (rejections_per_second || (before && sent_at >= brittle.heard_at)) {
-    Update(brittle, rejections_per_second, now);
+  const bool is_change =
+      detail::RecordStatedRate(brittle.rejections, rejections_per_second, sent_at, now);
+  if (is_change) {
+    ResetLoans(brittle);
   }
-  return brittle.rejections_per_second != before;
+  return is_change;
 }
 
 void RecordBrittleRejection(Upstream& upstream, TimePoint now) {
@@ -201,7 +191,7 @@
 
 bool HasBrittle(const UpstreamTable& table) {
   return std::ranges::any_of(table.rows, [](const auto& entry) {
-    return entry.second->brittle.rejections_per_second.has_value();
+    return entry.second->brittle.rejections.per_second.has_value();
   });
 }
 
@@ -224,7 +214,7 @@
 std::optional<double> LowestBrittle(std::span<const UpstreamRow> service) {
   std::optional<double> lowest;
   for (const UpstreamRow& row : service) {
-    if (const auto& limit = row->brittle.rejections_per_second; limit) {
+    if (const auto& limit = row->brittle.rejections.per_second; limit) {
       lowest = std::min(lowest.value_or(*limit), *limit);
     }
   }
@@ -233,7 +223,7 @@
 
 std::optional<double> RejectionLimit(const Upstream& upstream, std::optional<double> lowest) {
   const BrittleState& brittle = upstream.brittle;
-  return brittle.has_answered ? brittle.rejections_per_second : lowest;
+  return brittle.has_answered ? brittle.rejections.per_second : lowest;
 }
 
 bool AdmitsBrittleSend(const Upstream& upstream, const BrittleSend& send, TimePoint now) {
@@ -263,19 +253,8 @@
 }
 
 std::vector<BrittleNews> TakeBrittleNews(UpstreamTable& table, TimePoint now) {
-  std::vector<Upstream*> due;
-  for (auto& [id, row] : table.rows) {
-    if (row->brittle.sends_left > 0) {
-      due.push_back(row.get());
-    }
-  }
-  std::ranges::sort(due, std::ranges::greater(),
-                    [](const Upstream* upstream) { return upstream->brittle.heard_at; });
-  due.resize(std::min(due.size(), kMaxSentNews));
   std::vector<BrittleNews> news;
-  for (Upstream* upstream : due) {
-    BrittleState& brittle = upstream->brittle;
-    --brittle.sends_left;
+  for (const Upstream* upstream : detail::TakeDueRates(table, RateOf, kMaxSentNews)) {
     news.push_back(NewsOf(*upstream, now));
   }
   return news;
@@ -321,10 +300,11 @@
     if (received.running) {
       brittle.group_loads[sender_hash] = {*received.running, now};
     }
-    if (received.age && now - *received.age > brittle.heard_at) {
-      const auto before = brittle.rejections_per_second;
-      Update(brittle, received.rejections_per_second, now - *received.age);
-      if (brittle.rejections_per_second != before) {
+    if (received.age && now - *received.age > brittle.rejections.heard_at) {
+      brittle.has_answered = true;
+      if (detail::SetStatedRate(brittle.rejections, received.rejections_per_second,
+                                now - *received.age)) {
+        ResetLoans(brittle);
         changed.push_back(row->second);
       }
     }
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -64,7 +64,7 @@
 }
 
 bool NamedLimitAllows(const SelectionRequest& request, Upstream& upstream) {
-  return !upstream.limit.requests_per_second ||
+  return !upstream.limit.requests.per_second ||
          IsWithinNamedLimit(upstream, request.instances, RendezvousRank(request, upstream),
                             request.now);
 }
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -68,8 +68,8 @@
 void SaveAnnouncedState(UpstreamTable& table, const Upstream& upstream, TimePoint now) {
   const UpstreamListing& listing = upstream.listing;
   const bool has_announced = upstream.announced.leaving || IsPaused(upstream, now) ||
-                             upstream.limit.requests_per_second.has_value() ||
-                             upstream.brittle.rejections_per_second.has_value();
+                             upstream.limit.requests.per_second.has_value() ||
+                             upstream.brittle.rejections.per_second.has_value();
   if (has_announced && listing.started_at_ms != 0) {
     table.dropped[{listing.id, listing.started_at_ms}] = {upstream.announced, upstream.limit,
                                                           upstream.brittle, now};
--- a/src/dispatch/tests/brittle_upstreams_test.cc
+++ b/src/dispatch/tests/brittle_upstreams_test.cc
@@ -637,7 +637,7 @@
       }
     }
     BOOST_TEST(std::ranges::all_of(fleet, [&limit](const UpstreamTable& table) {
-      return table.rows.at("u3")->brittle.rejections_per_second == limit;
+      return table.rows.at("u3")->brittle.rejections.per_second == limit;
     }));
   }
 }
--- a/src/dispatch/tests/named_limits_test.cc
+++ b/src/dispatch/tests/named_limits_test.cc
@@ -150,7 +150,7 @@
       }
     }
     BOOST_TEST(std::ranges::all_of(fleet, [&limit](const UpstreamTable& table) {
-      return table.rows.at("u3")->limit.requests_per_second == limit;
+      return table.rows.at("u3")->limit.requests.per_second == limit;
     }));
   }
 }
@@ -162,7 +162,7 @@
   RecordNamedLimit(upstream, 3.0, kStart + 5s, kStart + 5s);
   const std::vector<LimitNews> older{{DigestKey(upstream), std::nullopt, 2s}};
   BOOST_TEST(MergeLimitNews(table, older, kStart + 6s).empty());
-  BOOST_TEST(upstream.limit.requests_per_second.value_or(0) == 3.0);
+  BOOST_TEST(upstream.limit.requests.per_second.value_or(0) == 3.0);
 }
 
 }  // namespace
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -65,15 +65,20 @@
   TimePoint pause_until;
 };
 
-// Limit of requests per second, over all instances, that an upstream names in its answers.
-struct NamedLimit {
-  // Unset while no limit is known.
-  std::optional<double> requests_per_second;
+// Belief about a rate that an upstream states in its answers for as long as it applies.
+struct StatedRate {
+  // Unset while none is stated.
+  std::optional<double> per_second;
   // When the newest answer that this belief follows from arrived, here or at a peer.
   TimePoint heard_at;
   // What peers were last told, by `heard_at`, and the number of messages that still carry it.
   TimePoint told_at;
   std::uint32_t sends_left = 0;
+};
+
+// Limit of requests per second, over all instances, that an upstream names in its answers.
+struct NamedLimit {
+  StatedRate requests;
   // Requests that this instance sent to the upstream.
   SlidingCount sends;
 };
@@ -87,18 +92,12 @@
 // What is known about an upstream that says it is brittle: it fails if it rejects too many requests
 // within a second, and may hold fewer waiting requests than usual.
 struct BrittleState {
-  // Rejections of requests from all instances that it survives in a second. Unset while it doesn't
-  // say that it is brittle.
-  std::optional<double> rejections_per_second;
-  // When the newest answer that this belief follows from arrived, here or at a peer.
-  TimePoint heard_at;
+  // Rejections of requests from all instances that it survives.
+  StatedRate rejections;
   // True once an answer of this process arrived here or at a peer that told about it.
   bool has_answered = false;
   // When the newest known rejection arrived, here or at a peer.
   TimePoint rejected_at;
-  // What peers were last told, by `heard_at`, and the number of messages that still carry it.
-  TimePoint told_at;
-  std::uint32_t sends_left = 0;
   // Requests in flight of other instances of its group, by the hash of the instance.
   std::unordered_map<std::uint64_t, GroupLoad> group_loads;
   // Own load that the group was last told, and when.
--- a/src/edge/internal/brittle_exchange.cc
+++ b/src/edge/internal/brittle_exchange.cc
@@ -10,7 +10,7 @@
 void LogBrittleChange(EdgeState& edge,
                       const dispatch::Upstream& upstream,
                       std::string_view source) {
-  const std::optional<double>& limit = upstream.brittle.rejections_per_second;
+  const std::optional<double>& limit = upstream.brittle.rejections.per_second;
   edge.metrics.Count("geranium_brittle_changes_total", {{"brittle", limit ? "yes" : "no"}});
   observability::LogEvent(observability::LogLevel::kInfo,
                           limit ? "upstream_brittle" : "upstream_brittle_ended",
--- a/src/edge/internal/limit_exchange.cc
+++ b/src/edge/internal/limit_exchange.cc
@@ -7,7 +7,7 @@
 namespace geraniumspread::edge::detail {
 
 void LogLimitChange(const dispatch::Upstream& upstream, std::string_view source) {
-  const std::optional<double>& limit = upstream.limit.requests_per_second;
+  const std::optional<double>& limit = upstream.limit.requests.per_second;
   observability::LogEvent(observability::LogLevel::kInfo,
                           limit ? "upstream_limit" : "upstream_limit_ended",
                           {{"upstream", upstream.listing.id},
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -58,11 +58,11 @@
           {"failure_domain", upstream.listing.failure_domain},
           {"takes_new_work", dispatch::TakesNewWork(edge.upstreams, upstream)},
           {"leaving", upstream.announced.leaving},
-          {"requests_per_second", upstream.limit.requests_per_second
-                                      ? json::value(*upstream.limit.requests_per_second)
+          {"requests_per_second", upstream.limit.requests.per_second
+                                      ? json::value(*upstream.limit.requests.per_second)
                                       : json::value(nullptr)},
-          {"rejections_per_second", upstream.brittle.rejections_per_second
-                                        ? json::value(*upstream.brittle.rejections_per_second)
+          {"rejections_per_second", upstream.brittle.rejections.per_second
+                                        ? json::value(*upstream.brittle.rejections.per_second)
                                         : json::value(nullptr)},
           {"wants_pause_ms", MillisecondsUntil(upstream.announced.pause_until, now)},
           {"removal_held", upstream.removal_at.has_value()},
