dispatch tests: the simulations share their instances and the spreading of news

tests/simulated_instance.h holds both once. All checks, bounds and seeds stay as they were. The event queues stay apart: they order events of one moment differently, and one queue would change the figures of a simulation.

--- a/src/dispatch/tests/brittle_upstreams_test.cc
+++ b/src/dispatch/tests/brittle_upstreams_test.cc
@@ -15,6 +15,7 @@
 #include "common/hash.h"
 #include "dispatch/peer_table.h"
 #include "dispatch/selection.h"
+#include "dispatch/tests/simulated_instance.h"
 
 // Simulates instances in front of the upstreams of one service that say that they are brittle,
 // without a network. Each instance chooses by its own tables, which answers, digests and news
@@ -53,13 +54,8 @@
   bool is_engine = false;
 };
 
-struct Instance {
-  std::string address;
-  std::string domain;
-  std::uint64_t hash = 0;
-  std::uint64_t digests = 0;
-  UpstreamTable table;
-  PeerTable peers;
+struct Instance : test::SimulatedInstance {
+  using SimulatedInstance::SimulatedInstance;
   RetryBudgetShare retries;
 };
 
@@ -111,7 +107,7 @@
     }
     for (auto& one : this->instances) {
       for (auto& other : this->instances) {
-        ApplyDigest(other->peers, other->table, this->Digest(*one), kStart);
+        ApplyDigest(other->peers, other->table, one->MakeDigest(this->now), kStart);
       }
     }
     // Connections are distributed by a hash of few callers, and therefore unevenly.
@@ -161,12 +157,7 @@
   }
 
   void AddInstance(std::size_t index) {
-    auto instance = std::make_unique<Instance>();
-    instance->domain = kDomains[index % kDomains.size()];
-    instance->address = "10.0.0." + std::to_string(index);
-    instance->hash = StableHash(instance->address);
-    instance->peers.self_address = instance->address;
-    instance->peers.self_domain = instance->domain;
+    auto instance = std::make_unique<Instance>(index, kDomains[index % kDomains.size()]);
     for (const StandIn& upstream : this->upstreams) {
       ApplyListing(instance->table, upstream.listing, kStart - 1min);
     }
@@ -181,26 +172,14 @@
     return Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count())(this->random));
   }
 
-  PeerDigest Digest(Instance& instance) {
-    PeerDigest digest;
-    digest.instance = instance.address;
-    digest.incarnation = 1;
-    digest.sequence = ++instance.digests;
-    digest.address = instance.address;
-    digest.failure_domain = instance.domain;
-    digest.loads = OwnLoads(instance.table);
-    digest.reports = OwnReports(instance.table, this->now);
-    return digest;
-  }
-
   void Tick(std::size_t index) {
     Instance& sender = *this->instances[index];
     ExpirePeers(sender.peers, sender.table, this->now);
-    const PeerDigest digest = this->Digest(sender);
+    const PeerDigest digest = sender.MakeDigest(this->now);
     const std::vector<BrittleNews> news = TakeBrittleNews(sender.table, this->now);
     std::vector<std::string> targets = DigestTargets(sender.peers, false, this->random, this->now);
     for (const std::string& address : targets) {
-      Instance& receiver = *this->instances[std::stoul(address.substr(7))];
+      Instance& receiver = *this->instances[Instance::IndexOf(address)];
       this->At(kOnTheWay, [this, &receiver, digest] {
         ApplyDigest(receiver.peers, receiver.table, digest, this->now);
       });
@@ -210,7 +189,7 @@
       targets.resize(std::min(targets.size(), kNewsTargets));
     }
     for (const std::string& address : targets) {
-      Instance& receiver = *this->instances[std::stoul(address.substr(7))];
+      Instance& receiver = *this->instances[Instance::IndexOf(address)];
       this->At(kOnTheWay, [this, &receiver, news, from = sender.address] {
         MergeBrittleNews(receiver.table, news, from, this->now);
       });
@@ -222,7 +201,7 @@
     Instance& sender = *this->instances[index];
     const GroupNews told = TakeGroupNews(sender.table, sender.peers, this->now);
     for (const std::string& address : told.addresses) {
-      Instance& receiver = *this->instances[std::stoul(address.substr(7))];
+      Instance& receiver = *this->instances[Instance::IndexOf(address)];
       this->counts.datagrams += this->IsStated() ? 1 : 0;
       if (std::bernoulli_distribution(kLostDatagrams)(this->random)) {
         continue;
@@ -624,18 +603,12 @@
     fleet.push_back(TableWith(20));
   }
   std::mt19937_64 random(1);
-  std::uniform_int_distribution<std::size_t> pick(0, kInstances - 1);
   TimePoint now = kStart + 1s;
   for (const std::optional<double> limit : {std::optional(4.0), std::optional<double>()}) {
     RecordBrittle(*fleet[0].rows.at("u3"), limit, now, now);
-    for (const TimePoint end = now + 2s; now < end; now += kTick) {
-      for (UpstreamTable& instance : fleet) {
-        const std::vector<BrittleNews> news = TakeBrittleNews(instance, now);
-        for (std::size_t target = 0; target < kNewsTargets && !news.empty(); ++target) {
-          MergeBrittleNews(fleet[pick(random)], news, "10.0.0.1", now);
-        }
-      }
-    }
+    test::SpreadNews(fleet, random, now, TakeBrittleNews,
+                     [](UpstreamTable& receiver, const std::vector<BrittleNews>& news,
+                        TimePoint at) { MergeBrittleNews(receiver, news, "10.0.0.1", at); });
     BOOST_TEST(std::ranges::all_of(fleet, [&limit](const UpstreamTable& table) {
       return table.rows.at("u3")->brittle.rejections.per_second == limit;
     }));
--- a/src/dispatch/tests/fleet_load_test.cc
+++ b/src/dispatch/tests/fleet_load_test.cc
@@ -12,6 +12,7 @@
 #include "common/hash.h"
 #include "dispatch/peer_table.h"
 #include "dispatch/selection.h"
+#include "dispatch/tests/simulated_instance.h"
 
 // Simulates a fleet of instances in front of the engines of one service, without a
 // network. Each instance chooses engines by its own tables, which responses and
@@ -58,14 +59,7 @@
 
 const std::vector<std::string> kDomains = {"a", "b", "c", "d"};
 
-struct Instance {
-  std::string domain;
-  std::string address;
-  std::uint64_t hash = 0;
-  std::uint64_t digests = 0;
-  UpstreamTable table;
-  PeerTable peers;
-};
+using Instance = test::SimulatedInstance;
 
 struct Engine {
   std::uint32_t running = 0;
@@ -96,7 +90,7 @@
     this->instance_of = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
     for (auto& one : this->instances) {
       for (auto& other : this->instances) {
-        ApplyDigest(other->peers, other->table, this->Digest(*one), kStart);
+        ApplyDigest(other->peers, other->table, one->MakeDigest(this->now), kStart);
       }
     }
   }
@@ -129,12 +123,7 @@
   };
 
   void AddInstance(std::size_t index) {
-    auto instance = std::make_unique<Instance>();
-    instance->domain = kDomains[index % kDomains.size()];
-    instance->address = "10.0.0." + std::to_string(index);
-    instance->hash = StableHash(instance->address);
-    instance->peers.self_address = instance->address;
-    instance->peers.self_domain = instance->domain;
+    auto instance = std::make_unique<Instance>(index, kDomains[index % kDomains.size()]);
     for (std::size_t engine = 0; engine < kEngines; ++engine) {
       UpstreamListing listing;
       listing.id = "engine-" + std::to_string(engine);
@@ -155,23 +144,11 @@
     return Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count())(this->random));
   }
 
-  PeerDigest Digest(Instance& instance) {
-    PeerDigest digest;
-    digest.instance = instance.address;
-    digest.incarnation = 1;
-    digest.sequence = ++instance.digests;
-    digest.address = instance.address;
-    digest.failure_domain = instance.domain;
-    digest.loads = OwnLoads(instance.table);
-    digest.reports = OwnReports(instance.table, this->now);
-    return digest;
-  }
-
   void SendDigests(std::size_t index) {
     Instance& sender = *this->instances[index];
-    const PeerDigest digest = this->Digest(sender);
+    const PeerDigest digest = sender.MakeDigest(this->now);
     for (const std::string& address : DigestTargets(sender.peers, false, this->random, this->now)) {
-      Instance& receiver = *this->instances[std::stoul(address.substr(7))];
+      Instance& receiver = *this->instances[Instance::IndexOf(address)];
       this->At(kOnTheWay, [this, &receiver, digest] {
         ApplyDigest(receiver.peers, receiver.table, digest, this->now);
       });
--- a/src/dispatch/tests/named_limits_test.cc
+++ b/src/dispatch/tests/named_limits_test.cc
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "common/hash.h"
+#include "dispatch/tests/simulated_instance.h"
 
 namespace geraniumspread::dispatch {
 namespace {
@@ -136,19 +137,17 @@
     fleet.push_back(TableWith(20));
   }
   std::mt19937_64 random(1);
-  std::uniform_int_distribution<std::size_t> pick(0, kInstances - 1);
   TimePoint now = kStart + 1s;
   for (const std::optional<double> limit : {std::optional(2.5), std::optional<double>()}) {
     RecordNamedLimit(*fleet[0].rows.at("u3"), limit, now, now);
-    for (const TimePoint end = now + 2s; now < end; now += 200ms) {
-      for (UpstreamTable& instance : fleet) {
-        const std::vector<LimitNews> news = TakeLimitNews(instance, now);
-        BOOST_TEST_REQUIRE(news.size() <= 8U);
-        for (std::size_t target = 0; target < 4 && !news.empty(); ++target) {
-          MergeLimitNews(fleet[pick(random)], news, now);
-        }
-      }
-    }
+    test::SpreadNews(
+        fleet, random, now,
+        [](UpstreamTable& sender, TimePoint at) {
+          std::vector<LimitNews> news = TakeLimitNews(sender, at);
+          BOOST_TEST_REQUIRE(news.size() <= 8U);
+          return news;
+        },
+        MergeLimitNews);
     BOOST_TEST(std::ranges::all_of(fleet, [&limit](const UpstreamTable& table) {
       return table.rows.at("u3")->limit.requests.per_second == limit;
     }));
