dispatch: cost terms, tightest goals and pace as inputs of the selection

Cause: the parts that follow (pace of upstreams, contention of prompts, explanation of a choice) all change the cost of an upstream. Change: the cost is a sum of named terms (CostTerms), each service knows the tightest latency goal of its routes, a request carries its own goal, and the time terms are multiplied by ExpectedPace, which is 1 for now.

--- a/src/dispatch/internal/routing_config.cc
+++ b/src/dispatch/internal/routing_config.cc
@@ -1,5 +1,7 @@
 #include "dispatch/routing_config.h"
 
+#include <algorithm>
+
 #include "common/hash.h"
 
 namespace geraniumspread::dispatch {
@@ -35,6 +37,21 @@
   return nullptr;
 }
 
+void SetTightestGoals(RoutingConfig& config) {
+  for (const auto& [host, by_prefix] : config.routes) {
+    for (const auto& [prefix, route] : by_prefix) {
+      for (const WeightedService& share : route.services) {
+        if (const auto service = config.services.find(share.service);
+            service != config.services.end()) {
+          Duration& tightest = service->second.tightest_goal;
+          tightest =
+              tightest == Duration{0} ? route.latency_goal : std::min(tightest, route.latency_goal);
+        }
+      }
+    }
+  }
+}
+
 const Workspace* FindWorkspace(const RoutingConfig& config, std::string_view key) {
   const auto found = config.keys.find(std::string(key));
   return found == config.keys.end() ? nullptr : &found->second;
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -141,21 +141,26 @@
   return lowest;
 }
 
-double PlainCost(const Candidate& candidate) {
+// Cost of the requests at a plain service.
+double PlainRunningCost(const Candidate& candidate, double pace) {
   const double slots = std::max<std::uint32_t>(candidate.row->listing.slots, 1);
   const double load = candidate.running / slots;
-  return load * kPlainRunningMs + std::max(0.0, load - 1) * kPlainRunningMs;
+  return pace * (load * kPlainRunningMs + std::max(0.0, load - 1) * kPlainRunningMs);
 }
 
-double EngineCost(const UpstreamTable& table,
-                  const SelectionSettings& settings,
-                  const Prompt& prompt,
-                  const Candidate& candidate,
-                  bool is_home) {
+void SetEngineTerms(const UpstreamTable& table,
+                    const SelectionSettings& settings,
+                    const SelectionRequest& request,
+                    Candidate& candidate) {
+  const double pace = ExpectedPace(candidate.row->pace, request.now);
   const double reread =
-      is_home ? 0 : UncachedSharedTokens(candidate.row->prompt_cache, prompt) * kRereadFactor;
+      candidate.is_home
+          ? 0
+          : UncachedSharedTokens(candidate.row->prompt_cache, request.prompt) * kRereadFactor;
   const auto waiting = static_cast<double>(EstimatedPrefillTokens(table, *candidate.row));
-  return (reread + waiting) / settings.prefill_tokens_per_ms + candidate.running * kEngineRunningMs;
+  candidate.terms.reread = pace * reread / settings.prefill_tokens_per_ms;
+  candidate.terms.waiting = pace * waiting / settings.prefill_tokens_per_ms;
+  candidate.terms.running = pace * candidate.running * kEngineRunningMs;
 }
 
 // Rises from the mean load to the load bound, so that prompts that are cheap to
@@ -169,6 +174,15 @@
                    : part * part * kPressureTokens * kRereadFactor / settings.prefill_tokens_per_ms;
 }
 
+void MarkHome(const SelectionRequest& request, Candidate& candidate) {
+  candidate.is_home = true;
+  // Other instances send these shared parts to the home too, so they count as
+  // cached.
+  const std::uint32_t shared = SharedTokens(request.prompt);
+  candidate.uncached_tokens =
+      request.prompt.input_tokens - std::min(shared, request.prompt.input_tokens);
+}
+
 void SetCosts(const UpstreamTable& table,
               const SelectionSettings& settings,
               const SelectionRequest& request,
@@ -181,35 +195,37 @@
   for (Candidate& candidate : candidates) {
     const Upstream& upstream = *candidate.row;
     if (&upstream == home) {
-      candidate.is_home = true;
-      // Other instances send these shared parts to the home too, so they count as
-      // cached.
-      const std::uint32_t shared = SharedTokens(request.prompt);
-      candidate.uncached_tokens =
-          request.prompt.input_tokens - std::min(shared, request.prompt.input_tokens);
+      MarkHome(request, candidate);
+    }
+    CostTerms& terms = candidate.terms;
+    if (request.is_engine) {
+      SetEngineTerms(table, settings, request, candidate);
+      terms.pressure = PressureCost(settings, candidate, mean, bound);
+    } else {
+      terms.running = PlainRunningCost(candidate, ExpectedPace(upstream.pace, request.now));
     }
-    candidate.cost_ms = request.is_engine ? EngineCost(table, settings, request.prompt, candidate,
-                                                       &upstream == home)
-                                          : PlainCost(candidate);
     if (upstream.listing.failure_domain != request.own_domain) {
-      candidate.cost_ms +=
+      terms.cross_domain =
           settings.cross_domain_ms + kilobytes * settings.cross_domain_ms_per_kilobyte;
     }
     if (IsInSilentDomain(table, upstream)) {
-      candidate.cost_ms += settings.silent_domain_ms;
-    }
-    candidate.cost_ms += (FailureRate(upstream.health, request.now) - usual_failures) * kFailureMs;
-    if (request.is_engine) {
-      candidate.cost_ms += PressureCost(settings, candidate, mean, bound);
+      terms.silent_domain = settings.silent_domain_ms;
     }
+    terms.failures = (FailureRate(upstream.health, request.now) - usual_failures) * kFailureMs;
     if (const double excess = candidate.running + 1 - bound; excess > 0) {
-      candidate.cost_ms += kOverBoundMs + excess * kOverBoundMsPerRequest;
+      terms.over_bound = kOverBoundMs + excess * kOverBoundMsPerRequest;
     }
+    candidate.cost_ms = TotalCost(terms);
   }
 }
 
 }  // namespace
 
+double TotalCost(const CostTerms& terms) {
+  return terms.reread + terms.waiting + terms.running + terms.cross_domain + terms.silent_domain +
+         terms.failures + terms.pressure + terms.over_bound;
+}
+
 std::string_view ToString(SelectionFailure failure) {
   switch (failure) {
     case SelectionFailure::kNone:
@@ -301,7 +317,10 @@
       reached(SelectionFailure::kNoneOfVersion);
       continue;
     }
-    Candidate candidate{row, 0, EstimatedRunning(table, *row, request.now),
+    Candidate candidate{row,
+                        {},
+                        0,
+                        EstimatedRunning(table, *row, request.now),
                         UncachedTokens(row->prompt_cache, request.prompt)};
     if (Contains(request.tried, row->listing.id)) {
       reached(SelectionFailure::kAllTried);
--- a/src/dispatch/routing_config.h
+++ b/src/dispatch/routing_config.h
@@ -47,6 +47,8 @@
   bool is_engine = false;
   // Capacity of an engine's prompt cache in tokens.
   std::uint64_t cache_tokens = 0;
+  // The tightest latency goal among the routes to the service.
+  Duration tightest_goal{0};
 };
 
 struct Workspace {
@@ -73,6 +75,8 @@
   CallerLimits limits;
 };
 
+// Sets the tightest latency goal of each service.
+void SetTightestGoals(RoutingConfig& config);
 // Returns the route with the longest prefix of the path, or null. The query string is
 // ignored.
 const Route* FindRoute(const RoutingConfig& config, std::string_view host, std::string_view target);
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -40,6 +40,9 @@
   std::size_t instances = 1;
   // False while this instance doesn't know how many others there are.
   bool knows_fleet = true;
+  // The route's latency goal, and the tightest one among the routes of the service.
+  Duration latency_goal{0};
+  Duration tightest_goal{0};
   // Requests per second that a cold upstream of the service can handle.
   double cold_requests_per_second = 0;
   // Ids of the upstreams to which this request was already sent.
@@ -49,8 +52,28 @@
   TimePoint now;
 };
 
+// Terms of the cost of an upstream, in milliseconds.
+struct CostTerms {
+  // Shared prompt parts that the engine computes again.
+  double reread = 0;
+  // Prompt tokens that wait for prefill before this request.
+  double waiting = 0;
+  // Requests that run or wait there.
+  double running = 0;
+  // Another failure domain, and one that is presumed partitioned.
+  double cross_domain = 0;
+  double silent_domain = 0;
+  // Expected failures beyond those of the service.
+  double failures = 0;
+  // Load between the mean and the load bound, and above it.
+  double pressure = 0;
+  double over_bound = 0;
+};
+double TotalCost(const CostTerms& terms);
+
 struct Candidate {
   UpstreamRow row;
+  CostTerms terms;
   double cost_ms = 0;
   std::uint32_t running = 0;
   std::uint32_t uncached_tokens = 0;
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -15,6 +15,7 @@
 #include "dispatch/dispatch_types.h"
 #include "dispatch/prompt_cache_model.h"
 #include "dispatch/send_limits.h"
+#include "dispatch/upstream_pace.h"
 
 namespace geraniumspread::dispatch {
 
@@ -128,6 +129,7 @@
   std::uint32_t running = 0;
   std::uint64_t pending_prefill_tokens = 0;
   std::optional<LoadReport> report;
+  UpstreamPace pace;
   UpstreamHealth health;
   // When this instance last received bytes from the upstream.
   TimePoint last_received_at;
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -141,6 +141,7 @@
   selection_request.service = rules.name;
   selection_request.is_engine = rules.is_engine;
   selection_request.cold_requests_per_second = rules.cold_requests_per_second;
+  selection_request.tightest_goal = rules.tightest_goal;
   selection_request.own_domain = edge.settings.failure_domain;
   selection_request.own_hash = StableHash(edge.settings.address);
   selection_request.peer_hashes = peer_hashes;
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -97,6 +97,7 @@
   selection_request.body_bytes = run.request.body.size();
   selection_request.tried = run.tried;
   selection_request.version = run.stream_version;
+  selection_request.latency_goal = run.route.latency_goal;
   dispatch::Selection selection =
       dispatch::SelectUpstream(edge.upstreams, edge.settings.selection, selection_request);
   if (!selection.candidates.empty()) {
