dispatch: store readers send brief digests within large failure domains

Cause: a store reader sends each whole digest (up to 1,400 bytes) to its whole failure domain every 200 ms, so that the others notice its failure. Change: in a failure domain with more than 40 peers, a reader sends its loads to own_domain_targets peers as any other instance does, and a brief digest (liveness, position and confirmation, about 100 bytes) to the others. A brief digest keeps the last loads of the same process. Its flag stands in a bit that earlier builds ignore; they take the sender for idle. Ruled out: gossip of the reader's liveness alone, which reaches a domain of 100 instances only after several intervals, while a reader counts as lost after 700 ms. Result: AReaderOfALargeDomainSendsMostPeersBriefDigests and ABriefDigestKeepsTheLoadsOfTheSameProcess pass. Bytes at 300 instances are not measured yet.

--- a/src/dispatch/internal/peer_table.cc
+++ b/src/dispatch/internal/peer_table.cc
@@ -158,9 +158,16 @@
   if (peer.load_included) {
     SubtractLoads(upstreams, peer);
   }
+  std::vector<UpstreamLoad> last_loads;
+  if (digest.is_brief && peer.digest.incarnation == digest.incarnation) {
+    last_loads = std::move(peer.digest.loads);
+  }
   const bool is_counted =
       peer.digest.incarnation != 0 && peer.digest.failure_domain == digest.failure_domain;
   peer.digest = digest;
+  if (digest.is_brief) {
+    peer.digest.loads = std::move(last_loads);
+  }
   if (!is_counted) {
     peer.address_hash = StableHash(digest.address);
     CountPeers(peers);
@@ -235,7 +242,7 @@
   for (const auto& [address, announced_at] : peers.announced_addresses) {
     sampled.push_back(address);
   }
-  if (!reads_store) {
+  if (!reads_store || near.size() > peers.settings.max_whole_domain) {
     Shuffle(near, peers.settings.own_domain_targets, random);
   }
   std::vector<std::string>& far_targets = SamplesTargets(peers, far.size()) ? sampled : near;
@@ -245,6 +252,23 @@
   return near;
 }
 
+std::vector<std::string> BriefDigestTargets(const PeerTable& peers,
+                                            bool reads_store,
+                                            std::span<const std::string> targets,
+                                            TimePoint now) {
+  std::vector<std::string> brief;
+  if (!reads_store || peers.own_domain_peers <= peers.settings.max_whole_domain) {
+    return brief;
+  }
+  for (const auto& [address, peer] : peers.peers) {
+    if (peer.digest.failure_domain == peers.self_domain && IsLive(peers, peer, now) &&
+        std::ranges::find(targets, address) == targets.end()) {
+      brief.push_back(address);
+    }
+  }
+  return brief;
+}
+
 std::vector<std::string> AddressesToShare(const PeerTable& peers,
                                           std::mt19937_64& random,
                                           TimePoint now) {
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,9 @@
   // True if the sender sends requests of other instances to the upstreams and has no sign that it
   // doesn't reach them. Earlier builds don't set it.
   bool reaches_upstreams = false;
+  // True if the digest tells only that the sender lives and how new its published state is. Its
+  // last loads remain valid. Earlier builds take it for a digest of an idle instance.
+  bool is_brief = false;
   std::vector<UpstreamLoad> loads;
   std::vector<ReportedLoad> reports;
   // Addresses of some other live instances.
@@ -89,6 +93,10 @@
   std::size_t unsampled_remote_peers = 6;
   // Of more peers, this many random ones get each digest.
   std::size_t remote_targets = 4;
+  // In a failure domain with more peers than this, a store reader sends its loads to
+  // `own_domain_targets` of them only, and brief digests to the others. Whole digests to all would
+  // take several hundred kB/s in a domain of 100 instances.
+  std::size_t max_whole_domain = 40;
   std::size_t shared_addresses = 6;
   // Number of instances per failure domain that watch the store; the others copy the
   // state from them. Calls to the store are expensive and share one rate limit.
@@ -136,12 +144,19 @@
 // Stops counting the load of silent peers and removes peers after `peer_retention`.
 // Returns the names of the instances that became silent.
 std::vector<std::string> ExpirePeers(PeerTable& peers, UpstreamTable& upstreams, TimePoint now);
-// Returns the addresses that get the next digest. An instance that reads the store
-// sends to its whole failure domain, so that the others notice in time when it fails.
+// Returns the addresses that get the next digest. An instance that reads the store sends to its
+// whole failure domain, up to `max_whole_domain` peers.
 std::vector<std::string> DigestTargets(const PeerTable& peers,
                                        bool reads_store,
                                        std::mt19937_64& random,
                                        TimePoint now);
+// Returns the live peers of the own failure domain to which a store reader sends a brief digest,
+// since they are not among the `targets` of the whole one. The others of its domain notice in time
+// when a reader fails.
+std::vector<std::string> BriefDigestTargets(const PeerTable& peers,
+                                            bool reads_store,
+                                            std::span<const std::string> targets,
+                                            TimePoint now);
 std::vector<std::string> AddressesToShare(const PeerTable& peers,
                                           std::mt19937_64& random,
                                           TimePoint now);
--- a/src/dispatch/tests/peer_table_test.cc
+++ b/src/dispatch/tests/peer_table_test.cc
@@ -226,5 +226,54 @@
   BOOST_TEST(peers.announced_addresses.empty());
 }
 
+PeerTable MakeDomain(std::size_t instances) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams;
+  for (std::size_t index = 0; index < instances; ++index) {
+    PeerDigest digest = Digest("10.0.1." + std::to_string(index), 1, 0);
+    digest.failure_domain = "a";
+    ApplyDigest(peers, upstreams, digest, kStart);
+  }
+  return peers;
+}
+
+// Guards against a store reader whose traffic grows with its failure domain: whole digests to 100
+// instances took 899 kB/s.
+BOOST_AUTO_TEST_CASE(AReaderOfALargeDomainSendsMostPeersBriefDigests) {
+  std::mt19937_64 random(1);
+  for (const std::size_t instances : {100, 200}) {
+    const PeerTable peers = MakeDomain(instances);
+    const std::vector<std::string> whole = DigestTargets(peers, true, random, kStart);
+    BOOST_TEST(whole.size() == peers.settings.own_domain_targets);
+    BOOST_TEST(BriefDigestTargets(peers, true, whole, kStart).size() == instances - whole.size());
+    BOOST_TEST(BriefDigestTargets(peers, false, whole, kStart).empty());
+  }
+  const PeerTable small = MakeDomain(30);
+  const std::vector<std::string> whole = DigestTargets(small, true, random, kStart);
+  BOOST_TEST(whole.size() == 30U);
+  BOOST_TEST(BriefDigestTargets(small, true, whole, kStart).empty());
+}
+
+// Guards against an instance that looks idle, because its last digest was a brief one, and against
+// loads that a restarted instance no longer has.
+BOOST_AUTO_TEST_CASE(ABriefDigestKeepsTheLoadsOfTheSameProcess) {
+  PeerTable peers = MakePeers();
+  UpstreamTable upstreams = test::MakeTable(1);
+  const auto running = [&upstreams] {
+    return EstimatedRunning(upstreams, *upstreams.rows.at("a0"), kStart);
+  };
+  ApplyDigest(peers, upstreams, Digest("10.0.0.2", 1, 4), kStart);
+  PeerDigest brief = Digest("10.0.0.2", 2, 0);
+  brief.is_brief = true;
+  brief.loads.clear();
+  ApplyDigest(peers, upstreams, brief, kStart);
+  BOOST_TEST(running() == 4U);
+  ApplyDigest(peers, upstreams, Digest("10.0.0.2", 3, 1), kStart);
+  BOOST_TEST(running() == 1U);
+  brief.incarnation = 2;
+  ApplyDigest(peers, upstreams, brief, kStart);
+  BOOST_TEST(running() == 0U);
+}
+
 }  // namespace
 }  // namespace geraniumspread::dispatch
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -30,8 +30,9 @@
 constexpr double kThousand = 1000;
 constexpr unsigned kLeaving = 1;
 constexpr unsigned kReadsStore = 2;
-// Ignored by earlier builds.
+// The following are ignored by earlier builds.
 constexpr unsigned kReachesUpstreams = 4;
+constexpr unsigned kBrief = 8;
 // The flags also carry, in bits that earlier builds ignore, what identifies the retained items
 // and the era of the store.
 constexpr unsigned kFingerprintShift = 8;
@@ -297,7 +298,7 @@
   }
   const unsigned flags =
       (digest.leaving ? kLeaving : 0) | (digest.reads_store ? kReadsStore : 0) |
-      (digest.reaches_upstreams ? kReachesUpstreams : 0) |
+      (digest.reaches_upstreams ? kReachesUpstreams : 0) | (digest.is_brief ? kBrief : 0) |
       (unsigned{digest.retained_fingerprint} << kFingerprintShift) |
       (static_cast<unsigned>(std::min(digest.published.era, kMaxEra)) << kEraShift);
   const Cbor age =
@@ -343,6 +344,7 @@
     digest.leaving = (flags & kLeaving) != 0;
     digest.reads_store = (flags & kReadsStore) != 0;
     digest.reaches_upstreams = (flags & kReachesUpstreams) != 0;
+    digest.is_brief = (flags & kBrief) != 0;
     digest.retained_fingerprint = static_cast<std::uint8_t>(flags >> kFingerprintShift);
     digest.published = {flags >> kEraShift, Number<std::uint64_t>(message.at(7))};
     if (const Cbor& age = message.at(8); !age.is_null()) {
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -214,7 +214,8 @@
 }
 
 void SendDigests(EdgeState& edge) {
-  const std::string bytes = EncodeDigest(MakeDigest(edge));
+  dispatch::PeerDigest digest = MakeDigest(edge);
+  const std::string bytes = EncodeDigest(digest);
   std::vector<std::string> targets =
       dispatch::DigestTargets(edge.peers, edge.reads_store, edge.random, RuntimeClock::now());
   for (const std::string& seed : edge.settings.seed_addresses) {
@@ -226,6 +227,19 @@
   for (const std::string& target : targets) {
     SendDatagram(edge, target, bytes);
   }
+  const std::vector<std::string> brief_targets =
+      dispatch::BriefDigestTargets(edge.peers, edge.reads_store, targets, RuntimeClock::now());
+  if (brief_targets.empty()) {
+    return;
+  }
+  digest.is_brief = true;
+  digest.loads.clear();
+  digest.reports.clear();
+  digest.known_addresses.clear();
+  const std::string brief = EncodeDigest(digest);
+  for (const std::string& target : brief_targets) {
+    SendDatagram(edge, target, brief);
+  }
 }
 
 void SendNews(EdgeState& edge, const std::string& bytes) {
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -21,6 +21,7 @@
   digest.confirmation_age = 340ms;
   digest.reads_store = true;
   digest.reaches_upstreams = true;
+  digest.is_brief = true;
   digest.loads = {{0xfedcba98U, 3, 9000}, {5, 1, 0}};
   digest.reports = {{0x76543210U, 17, 120ms}, {6, 0, 0ms}};
   digest.known_addresses = {"10.1.0.17", "10.2.0.1"};
@@ -39,6 +40,7 @@
   BOOST_TEST(digest.leaving);
   BOOST_TEST(digest.reads_store);
   BOOST_TEST(digest.reaches_upstreams);
+  BOOST_TEST(digest.is_brief);
   BOOST_TEST(digest.published.revision == 77U);
   BOOST_TEST((digest.confirmation_age == 340ms));
   BOOST_TEST_REQUIRE(digest.loads.size() == 2U);
