edge: one encoder for rates, ages and marked messages of peers

The encoders of crash evidence, limits, brittle upstreams and stream origins repeated the encoding of optional rates and ages and of the marker. Change: EncodeRate, EncodeLongAge and EncodeMarked serve all four; the bytes on the wire stay the same.

--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -163,17 +163,26 @@
   return evidence;
 }
 
-std::uint32_t ToThousandths(double rate) {
+Cbor EncodeLongAge(const std::optional<Duration>& age) {
+  return age ? Cbor(WholeMilliseconds(*age)) : Cbor(nullptr);
+}
+
+// A rate is a number of thousandths, or null.
+Cbor EncodeRate(const std::optional<double>& rate) {
   constexpr double kMaxRate = 4e6;
-  return static_cast<std::uint32_t>(std::lround(std::clamp(rate, 0.0, kMaxRate) * kThousand));
+  return rate ? Cbor(static_cast<std::uint32_t>(
+                    std::lround(std::clamp(*rate, 0.0, kMaxRate) * kThousand)))
+              : Cbor(nullptr);
+}
+
+std::optional<double> DecodeRate(const Cbor& value) {
+  return value.is_null() ? std::nullopt : std::optional(Number<std::uint32_t>(value) / kThousand);
 }
 
 dispatch::LimitNews DecodeLimitRow(const Cbor& row) {
   dispatch::LimitNews news;
   news.upstream_key = Number<std::uint32_t>(row.at(0));
-  if (!row.at(1).is_null()) {
-    news.requests_per_second = Number<std::uint32_t>(row.at(1)) / kThousand;
-  }
+  news.requests_per_second = DecodeRate(row.at(1));
   news.age = DecodeLongAge(row.at(2));
   return news;
 }
@@ -181,9 +190,7 @@
 dispatch::BrittleNews DecodeBrittleRow(const Cbor& row) {
   dispatch::BrittleNews news;
   news.upstream_key = Number<std::uint32_t>(row.at(0));
-  if (!row.at(1).is_null()) {
-    news.rejections_per_second = Number<std::uint32_t>(row.at(1)) / kThousand;
-  }
+  news.rejections_per_second = DecodeRate(row.at(1));
   if (!row.at(2).is_null()) {
     news.age = DecodeLongAge(row.at(2));
   }
@@ -200,6 +207,12 @@
   return {Number<std::uint64_t>(row.at(0)), Number<std::uint64_t>(row.at(1))};
 }
 
+std::string EncodeMarked(std::string_view marker, Cbor rows) {
+  std::string bytes;
+  Cbor::to_cbor(Cbor::array({marker, std::move(rows)}), bytes);
+  return bytes;
+}
+
 // Decodes the rows of a message that begins with `marker`. Returns nullopt for any other message.
 template <typename Row>
 std::optional<std::vector<Row>> DecodeMarked(std::string_view bytes,
@@ -369,15 +382,11 @@
     for (const dispatch::CrashEvidence::Row& crash : entry.crashes) {
       crashes.insert(crashes.end(), {crash.process, WholeMilliseconds(crash.age)});
     }
-    const Cbor answer_age =
-        entry.answer_age ? Cbor(WholeMilliseconds(*entry.answer_age)) : Cbor(nullptr);
-    rows.push_back(
-        Cbor::array({entry.trait, answer_age, entry.has_begun, entry.depth, entry.quarantines,
-                     WholeMilliseconds(entry.quarantine_age), std::move(crashes)}));
+    rows.push_back(Cbor::array({entry.trait, EncodeLongAge(entry.answer_age), entry.has_begun,
+                                entry.depth, entry.quarantines,
+                                WholeMilliseconds(entry.quarantine_age), std::move(crashes)}));
   }
-  std::string bytes;
-  Cbor::to_cbor(Cbor::array({kCrashEvidenceMarker, std::move(rows)}), bytes);
-  return bytes;
+  return EncodeMarked(kCrashEvidenceMarker, std::move(rows));
 }
 
 std::optional<std::vector<dispatch::CrashEvidence>> DecodeCrashEvidence(std::string_view bytes) {
@@ -389,13 +398,10 @@
 std::string EncodeLimitNews(const std::vector<dispatch::LimitNews>& news) {
   Cbor rows = Cbor::array();
   for (const dispatch::LimitNews& entry : news) {
-    const Cbor rate =
-        entry.requests_per_second ? Cbor(ToThousandths(*entry.requests_per_second)) : Cbor(nullptr);
-    rows.push_back(Cbor::array({entry.upstream_key, rate, WholeMilliseconds(entry.age)}));
+    rows.push_back(Cbor::array(
+        {entry.upstream_key, EncodeRate(entry.requests_per_second), WholeMilliseconds(entry.age)}));
   }
-  std::string bytes;
-  Cbor::to_cbor(Cbor::array({kLimitNewsMarker, std::move(rows)}), bytes);
-  return bytes;
+  return EncodeMarked(kLimitNewsMarker, std::move(rows));
 }
 
 std::optional<std::vector<dispatch::LimitNews>> DecodeLimitNews(std::string_view bytes) {
@@ -406,21 +412,14 @@
 // of a rejection per second, age of the answer, age of the newest rejection, and requests of the
 // sender. All but the key may be null.
 std::string EncodeBrittleNews(const std::vector<dispatch::BrittleNews>& news) {
-  const auto encode_age = [](const std::optional<Duration>& age) {
-    return age ? Cbor(WholeMilliseconds(*age)) : Cbor(nullptr);
-  };
   Cbor rows = Cbor::array();
   for (const dispatch::BrittleNews& entry : news) {
-    const Cbor rate = entry.rejections_per_second
-                          ? Cbor(ToThousandths(*entry.rejections_per_second))
-                          : Cbor(nullptr);
     const Cbor running = entry.running ? Cbor(*entry.running) : Cbor(nullptr);
-    rows.push_back(Cbor::array({entry.upstream_key, rate, encode_age(entry.age),
-                                encode_age(entry.rejection_age), running}));
+    rows.push_back(
+        Cbor::array({entry.upstream_key, EncodeRate(entry.rejections_per_second),
+                     EncodeLongAge(entry.age), EncodeLongAge(entry.rejection_age), running}));
   }
-  std::string bytes;
-  Cbor::to_cbor(Cbor::array({kBrittleNewsMarker, std::move(rows)}), bytes);
-  return bytes;
+  return EncodeMarked(kBrittleNewsMarker, std::move(rows));
 }
 
 std::optional<std::vector<dispatch::BrittleNews>> DecodeBrittleNews(std::string_view bytes) {
@@ -433,9 +432,7 @@
   for (const auto& [stream, version] : origins) {
     rows.push_back(Cbor::array({stream, version}));
   }
-  std::string bytes;
-  Cbor::to_cbor(Cbor::array({kOriginsMarker, std::move(rows)}), bytes);
-  return bytes;
+  return EncodeMarked(kOriginsMarker, std::move(rows));
 }
 
 std::optional<std::vector<StreamOrigin>> DecodeOrigins(std::string_view bytes) {
