edge: a silent upstream or a cancelled attempt does not exclude the relaying peer

Cause: RecordUnanswered blamed the peer for every relayed attempt without a head. An upstream that is silent behind a working peer, a caller that left, and an attempt that this instance cancelled itself each excluded the peer for 2 s.

Cancelled attempts and those of a stopped run blame nobody.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -34,6 +34,9 @@
 constexpr int kEventTimeoutFactor = 8;
 constexpr int kEventTimeoutLatencyFactor = 4;
 constexpr Duration kMinEventTimeout = std::chrono::seconds(2);
+// A peer that relays an attempt gets this much longer to state that the upstream did not answer in
+// time. It may need the connect timeout before it sends the request.
+constexpr Duration kRelayMargin = kConnectTimeout;
 // A pooled connection may be dead without this being noticed. A non-repeatable request
 // opens a new connection unless data arrived from the upstream this recently.
 constexpr Duration kMaxIdleBeforeReuse = std::chrono::milliseconds(250);
@@ -67,6 +70,15 @@
   return timeouts;
 }
 
+// The timeouts of the connection to the upstream, or to the peer that relays the attempt.
+transport::ExchangeTimeouts ExchangeTimeoutsOf(const RequestRun& run) {
+  transport::ExchangeTimeouts timeouts = TimeoutsOf(run);
+  if (!run.relay.empty()) {
+    timeouts.first_byte += kRelayMargin;
+  }
+  return timeouts;
+}
+
 void ApplyLoadReport(RequestRun& run, dispatch::Upstream& upstream, const UpstreamAnswer& answer) {
   const TimePoint now = RuntimeClock::now();
   if (answer.running && answer.waiting) {
@@ -394,6 +406,7 @@
                               .started_at_ms = listing.started_at_ms,
                               .request_id = run.request.id,
                               .remaining = Remaining(run),
+                              .first_byte = TimeoutsOf(run).first_byte,
                               .may_reuse = policy == transport::ConnectionPolicy::kReuse});
   }
   return request;
@@ -435,12 +448,26 @@
   return attempt;
 }
 
-// Corrects what was counted for an attempt without an answer.
+// True if the peer failed that relayed an attempt without an answer. A peer states in time that the
+// upstream is silent. An attempt that this instance cancelled itself says nothing about the peer.
+bool IsPeerAtFault(const RequestRun& run,
+                   const RelayStatement& statement,
+                   const std::optional<transport::TransportError>& error) {
+  if (statement.result != RelayStatement::Result::kNone) {
+    return statement.is_unable;
+  }
+  const bool is_cancelled = error && error->code == TransportErrorCode::kCancelled;
+  return run.stopped == StopReason::kNone && !is_cancelled;
+}
+
+// Corrects what was counted for an attempt without an answer. `error` is set if no head came.
 void RecordUnanswered(RequestRun& run,
                       const dispatch::UpstreamRow& upstream,
                       const Attempt& attempt,
                       const RelayStatement& statement,
-                      bool is_unsent) {
+                      const std::optional<transport::TransportError>& error) {
+  const bool is_unsent = error ? error->phase < ExchangePhase::kWritingRequest
+                               : statement.result == RelayStatement::Result::kNotSent;
   if (is_unsent) {
     --run.sends;
     ++run.failed_connects;
@@ -450,8 +477,7 @@
     return;
   }
   run.edge->metrics.Count("geranium_relay_failures_total", {{"result", ToString(attempt.result)}});
-  const bool is_peer_at_fault =
-      statement.is_unable || statement.result == RelayStatement::Result::kNone;
+  const bool is_peer_at_fault = IsPeerAtFault(run, statement, error);
   if (is_peer_at_fault) {
     AvoidRelay(*run.edge, run.relay);
   }
@@ -546,7 +572,7 @@
   dispatch::RunningRequest running(chosen.row, chosen.uncached_tokens);
   run.sent_at = RuntimeClock::now();
   RecordSend(run, chosen);
-  transport::HttpExchange exchange(run.edge->connections, *endpoint, TimeoutsOf(run));
+  transport::HttpExchange exchange(run.edge->connections, *endpoint, ExchangeTimeoutsOf(run));
   exchange.IdentifyRequest(StableHash(run.request.id));
   UpstreamAnswer answer;
   exchange.SkipUnmatchedAnswers([&](const transport::HttpResponse& head) {
@@ -572,9 +598,8 @@
   if (failed) {
     run.active = nullptr;
     failed->connection = exchange.Use();
-    const bool is_unsent = head ? relayed.result == RelayStatement::Result::kNotSent
-                                : head.error().phase < ExchangePhase::kWritingRequest;
-    RecordUnanswered(run, chosen.row, *failed, relayed, is_unsent);
+    const auto error = head ? std::nullopt : std::optional(head.error());
+    RecordUnanswered(run, chosen.row, *failed, relayed, error);
     co_return std::move(*failed);
   }
   RecordBytes(run, upstream);
--- a/src/edge/internal/relay.cc
+++ b/src/edge/internal/relay.cc
@@ -26,6 +26,7 @@
 constexpr std::string_view kStarted = "Relay-Started-Ms";
 constexpr std::string_view kRequestId = "Relay-Request-Id";
 constexpr std::string_view kRemaining = "Relay-Remaining-Ms";
+constexpr std::string_view kFirstByte = "Relay-First-Byte-Ms";
 constexpr std::string_view kConnection = "Relay-Connection";
 constexpr std::string_view kResult = "Relay-Result";
 constexpr std::string_view kReason = "Relay-Reason";
@@ -64,6 +65,7 @@
   call.started_at_ms = ParseNumber(FindHeader(request.headers, kStarted));
   call.request_id = FindHeader(request.headers, kRequestId);
   call.remaining = std::chrono::milliseconds(ParseNumber(FindHeader(request.headers, kRemaining)));
+  call.first_byte = std::chrono::milliseconds(ParseNumber(FindHeader(request.headers, kFirstByte)));
   call.may_reuse = FindHeader(request.headers, kConnection) == kReuse;
   RemoveRelayHeaders(request.headers);
   return call;
@@ -97,7 +99,8 @@
   transport::ExchangeTimeouts timeouts;
   timeouts.connect = std::min(kConnectTimeout, call.remaining);
   timeouts.write = std::min(kWriteTimeout, call.remaining);
-  timeouts.first_byte = call.remaining;
+  timeouts.first_byte =
+      call.first_byte > Duration{0} ? std::min(call.first_byte, call.remaining) : call.remaining;
   timeouts.between_bytes = call.remaining;
   timeouts.total = call.remaining;
   return timeouts;
@@ -198,6 +201,8 @@
   request.headers.push_back({std::string(kRequestId), call.request_id});
   request.headers.push_back(
       {std::string(kRemaining), std::to_string(Milliseconds(call.remaining))});
+  request.headers.push_back(
+      {std::string(kFirstByte), std::to_string(Milliseconds(call.first_byte))});
   request.headers.push_back(
       {std::string(kConnection), std::string(call.may_reuse ? kReuse : "fresh")});
 }
--- a/src/edge/internal/relay.h
+++ b/src/edge/internal/relay.h
@@ -20,6 +20,8 @@
   std::int64_t started_at_ms = 0;
   std::string request_id;
   Duration remaining{0};
+  // The upstream must begin to answer within this time; zero if only `remaining` limits it.
+  Duration first_byte{0};
   // The peer may send the request on a connection that has served before.
   bool may_reuse = false;
 };
--- a/src/edge/tests/edge_relay_test.cc
+++ b/src/edge/tests/edge_relay_test.cc
@@ -1,6 +1,9 @@
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/test/unit_test.hpp>
 #include <numeric>
 
@@ -284,6 +287,49 @@
   BOOST_TEST(this->Received().size() == 20U);
 }
 
+// Guards against blaming the only able peer for an upstream that is silent: without that peer, the
+// next attempts go to upstreams that this instance can't reach.
+BOOST_FIXTURE_TEST_CASE(ASilentUpstreamDoesNotExcludeThePeer, Fixture) {
+  this->AddPeerAndUpstreams({{Silence()}, {Sealed("done")}});
+  for (int count = 0; count < 10; ++count) {
+    const auto answer = this->Call("/lookup/" + std::to_string(count));
+    BOOST_TEST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer.value().status == 200);
+  }
+  BOOST_TEST(!this->upstreams.front()->requests.empty());
+}
+
+// Guards against blaming the peer for an attempt that ended because its caller left.
+BOOST_FIXTURE_TEST_CASE(ACallerThatLeavesDoesNotExcludeThePeer, Fixture) {
+  this->AddPeerAndUpstreams({{Silence()}, {Silence()}});
+  std::ignore = this->CallRaw(
+      "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: left\r\nX-Key: key\r\n"
+      "Content-Length: 0\r\n\r\n");
+  BOOST_TEST(this->Received().size() == 1U);
+  for (const auto& upstream : this->upstreams) {
+    upstream->SetReplies({Sealed("done")});
+  }
+  BOOST_TEST(this->Call("/order/2").value().status == 200);
+}
+
+// Guards against a peer that accepts relayed requests and stays silent: it must be avoided, since
+// only an able peer states that the upstream is silent.
+BOOST_FIXTURE_TEST_CASE(ASilentPeerIsAvoided, Fixture) {
+  this->AddPeerAndUpstreams({{Sealed("done")}, {Sealed("done")}});
+  std::size_t held = 0;
+  this->AddFakePeer([&](const transport::HttpRequest& /*request*/,
+                        transport::HttpResponder& responder) -> asio::awaitable<void> {
+    ++held;
+    asio::steady_timer wait(this->io, asio::steady_timer::time_point::max());
+    responder.OnDisconnect([&wait] { wait.cancel(); });
+    co_await wait.async_wait(asio::as_tuple(asio::use_awaitable));
+  });
+  for (int count = 0; count < 10; ++count) {
+    BOOST_TEST(this->Call("/lookup/" + std::to_string(count)).value().status == 200);
+  }
+  BOOST_TEST(held <= 1U);
+}
+
 // Guards against an instance that relays for ever.
 BOOST_FIXTURE_TEST_CASE(TheInstanceConnectsItselfOnceThePathIsBack, Fixture) {
   this->AddPeerAndUpstreams({{Sealed("done")}, {Sealed("done")}});
