edge: a path check needs an answer once requests died on new connections

Cause: checks and probes of the own path only connected and held the connection for 50 ms. A path that accepts connections and then resets them when a request comes, or carries nothing, was called good, so the instance kept sending there.

Change: an attempt that dies on a new connection before its answer, and a silence of 400 ms, make checks and probes send GET to the service's healthPath; any response within 200 ms counts. The silence probe now also covers requests that wait on new connections. Services without a healthPath are checked with a connect as before. The label "kind" of geranium_path_probes_total tells the two apart.

--- a/src/dispatch/internal/upstream_path.cc
+++ b/src/dispatch/internal/upstream_path.cc
@@ -29,7 +29,9 @@
 bool RecordPathFailure(UpstreamPath& path,
                        std::string_view upstream,
                        std::size_t listed,
-                       TimePoint now) {
+                       TimePoint now,
+                       PathSign sign) {
+  path.needs_answer = path.needs_answer || sign == PathSign::kUnanswered;
   std::erase_if(path.failures, [&](const UnreachedUpstream& failure) {
     const bool is_old =
         path.state == PathState::kReached && failure.at + path.settings.failure_window < now;
@@ -54,6 +56,7 @@
     std::erase_if(path.failures, [connected_at](const UnreachedUpstream& failure) {
       return failure.at <= connected_at;
     });
+    path.needs_answer = path.needs_answer && !path.failures.empty();
     return false;
   }
   if (connected_at < path.changed_at) {
@@ -63,6 +66,7 @@
   path.state = PathState::kReached;
   path.changed_at = now;
   path.failures.clear();
+  path.needs_answer = false;
   path.no_check_before = now + path.settings.check_pause;
   return was_lost;
 }
@@ -82,6 +86,7 @@
     path.state = PathState::kReached;
     path.changed_at = now;
     path.failures.clear();
+    path.needs_answer = false;
   }
 }
 
@@ -89,6 +94,7 @@
   path.last_bytes_at = now;
   if (path.state == PathState::kReached) {
     path.failures.clear();
+    path.needs_answer = false;
   }
 }
 
@@ -99,6 +105,7 @@
     return false;
   }
   path.no_silence_probe_before = now + path.settings.silence_pause;
+  path.needs_answer = true;
   return true;
 }
 
--- a/src/dispatch/routing_config.h
+++ b/src/dispatch/routing_config.h
@@ -42,6 +42,8 @@
 
 struct ServiceRules {
   std::string name;
+  // Path at which upstreams answer a GET at once. Empty if they have none.
+  std::string health_path;
   // Requests per second that a cold upstream can handle; 0 means no cold limit.
   double cold_requests_per_second = 0;
   bool is_engine = false;
--- a/src/dispatch/tests/upstream_path_test.cc
+++ b/src/dispatch/tests/upstream_path_test.cc
@@ -109,6 +109,27 @@
   BOOST_TEST((this->path.state == PathState::kLost));
 }
 
+// Guards against a check that calls a path good on which connections open and requests die.
+BOOST_FIXTURE_TEST_CASE(UnansweredRequestsOnNewConnectionsNeedAnAnswer, Fixture) {
+  BOOST_TEST(!RecordPathFailure(this->path, "u1", kListed, this->now));
+  BOOST_TEST(!this->path.needs_answer);
+  BOOST_TEST(RecordPathFailure(this->path, "u2", kListed, this->now, PathSign::kUnanswered));
+  BOOST_TEST(this->path.needs_answer);
+  BOOST_TEST(RecordPathUnreached(this->path, this->now));
+  BOOST_TEST(this->path.needs_answer);
+  BOOST_TEST(RecordPathReached(this->path, this->now, this->now));
+  BOOST_TEST(!this->path.needs_answer);
+}
+
+// One upstream that resets its requests says nothing about the checks after the next answer.
+BOOST_FIXTURE_TEST_CASE(AnAnswerEndsTheNeedForAnswers, Fixture) {
+  BOOST_TEST(!RecordPathFailure(this->path, "u1", kListed, this->now, PathSign::kUnanswered));
+  BOOST_TEST(!RecordPathReached(this->path, this->now - 1ms, this->now));
+  BOOST_TEST(this->path.needs_answer);
+  BOOST_TEST(!RecordPathReached(this->path, this->now + 1ms, this->now + 2ms));
+  BOOST_TEST(!this->path.needs_answer);
+}
+
 // A service whose upstreams are all gone lets every check succeed elsewhere; the checks must stay
 // few.
 BOOST_FIXTURE_TEST_CASE(ACheckThatSucceedsIsFollowedByAPause, Fixture) {
@@ -150,6 +171,8 @@
   this->path.last_bytes_at = kStart;
   BOOST_TEST(!TakeSilenceProbe(this->path, kStart, kStart + 399ms));
   BOOST_TEST(TakeSilenceProbe(this->path, kStart, kStart + 400ms));
+  // Connections may open and then stay silent.
+  BOOST_TEST(this->path.needs_answer);
   BOOST_TEST(SuspectPath(this->path, kStart + 600ms));
   BOOST_TEST(!SuspectPath(this->path, kStart + 600ms));
 }
--- a/src/dispatch/upstream_path.h
+++ b/src/dispatch/upstream_path.h
@@ -37,6 +37,14 @@
   kLost,
 };
 
+// What a failure shows about the path to an upstream.
+enum class PathSign : std::uint8_t {
+  // The connect failed, or a connection was lost that had served before.
+  kConnectionFailed,
+  // A new connection opened and then brought no answer.
+  kUnanswered,
+};
+
 struct UnreachedUpstream {
   std::string id;
   TimePoint at;
@@ -49,6 +57,8 @@
   // The upstreams at which connects failed or connections were lost since the last new connection
   // of use, each with its last failure.
   std::vector<UnreachedUpstream> failures;
+  // Checks and probes need an answer from an upstream, since connections open and are of no use.
+  bool needs_answer = false;
   TimePoint no_check_before;
   TimePoint no_silence_probe_before;
   TimePoint next_probe_at;
@@ -58,11 +68,14 @@
 };
 
 // Records a failed connect to an upstream or the loss of a connection. Returns true if a check
-// must start; the path is then suspected to be lost. `listed` is the number of upstreams.
+// must start; the path is then suspected to be lost. `listed` is the number of upstreams. After an
+// unanswered request on a new connection, checks need an answer until a request or a check gets
+// one.
 bool RecordPathFailure(UpstreamPath& path,
                        std::string_view upstream,
                        std::size_t listed,
-                       TimePoint now);
+                       TimePoint now,
+                       PathSign sign = PathSign::kConnectionFailed);
 // Call when a probe failed after a silence. Returns true if a check must start.
 bool SuspectPath(UpstreamPath& path, TimePoint now);
 // Records that a new connection to an upstream, opened at `connected_at` at the earliest, is of
@@ -77,7 +90,8 @@
 // Call when the process stood still: failures from before then may be its own fault.
 void RecordPathStandstill(UpstreamPath& path, TimePoint now);
 // True if one upstream must be probed because requests under way since `waiting_since`, the
-// oldest of them, get no answer. The next probe for this reason comes after a pause.
+// oldest of them, get no answer. The probe needs an answer. The next probe for this reason comes
+// after a pause.
 bool TakeSilenceProbe(UpstreamPath& path, TimePoint waiting_since, TimePoint now);
 // True if the next probe of a lost path is due.
 bool TakeRecoveryProbe(UpstreamPath& path, TimePoint now);
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -108,6 +108,7 @@
 
 Attempt MakeFailedAttempt(RequestRun& run,
                           dispatch::Upstream& upstream,
+                          const transport::HttpExchange& exchange,
                           const transport::TransportError& error) {
   Attempt attempt;
   attempt.reason = DescribeFailure(error);
@@ -136,7 +137,7 @@
     dispatch::RecordAttemptFailure(upstream.health, now);
   }
   if (IsPathSign(run, error, attempt)) {
-    RecordPathFailure(run.edge, upstream);
+    RecordPathFailure(run.edge, upstream, SignOf(error, exchange));
   }
   return attempt;
 }
@@ -277,7 +278,7 @@
                                          transport::HttpResponder& responder) {
   auto body = co_await exchange.ReadAll(kMaxAnswerBytes);
   if (!body) {
-    co_return MakeFailedAttempt(run, upstream, body.error());
+    co_return MakeFailedAttempt(run, upstream, exchange, body.error());
   }
   Attempt attempt;
   const TimePoint now = RuntimeClock::now();
@@ -589,7 +590,7 @@
   RelayStatement relayed;
   std::optional<Attempt> failed;
   if (!head) {
-    failed = MakeFailedAttempt(run, upstream, head.error());
+    failed = MakeFailedAttempt(run, upstream, exchange, head.error());
   } else if (!run.relay.empty()) {
     relayed = TakeRelayStatement(head.value());
     answer = run.edge->codec.decode_answer(head.value());
--- a/src/edge/internal/path_watch.cc
+++ b/src/edge/internal/path_watch.cc
@@ -20,8 +20,13 @@
 
 // A path that is lost may still accept connections, and reset them at once.
 constexpr Duration kHoldTime = std::chrono::milliseconds(50);
+// Upstreams answer health checks at once; the work for one takes less than 8 ms.
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(200);
+
 // A check that took longer than this stood still itself, and its timeouts prove nothing.
-constexpr Duration kMaxCheckTime = 2 * (kConnectTimeout + kHoldTime);
+constexpr Duration MaxCheckTime(bool needs_answer) {
+  return 2 * (kConnectTimeout + (needs_answer ? kAnswerTimeout : kHoldTime));
+}
 
 struct Probe {
   explicit Probe(asio::io_context& io) : done(io) {}
@@ -31,14 +36,47 @@
   bool reached = false;
 };
 
+// Returns the path for a health check of the upstream; empty if a connect is enough or its service
+// has none.
+std::string HealthPathOf(const EdgeState& edge, const dispatch::Upstream& upstream) {
+  if (!edge.path.needs_answer || !edge.config) {
+    return {};
+  }
+  const auto service = edge.config->services.find(upstream.listing.service);
+  return service == edge.config->services.end() ? std::string() : service->second.health_path;
+}
+
+// Sends a health check on a new connection. Any response shows that the path carries requests.
+asio::awaitable<bool> HasAnswer(Edge edge, transport::Endpoint endpoint, std::string health_path) {
+  transport::ExchangeTimeouts timeouts;
+  timeouts.connect = kConnectTimeout;
+  timeouts.write = kAnswerTimeout;
+  timeouts.first_byte = kAnswerTimeout;
+  timeouts.total = kConnectTimeout + kAnswerTimeout;
+  transport::HttpExchange exchange(edge->connections, std::move(endpoint), timeouts);
+  transport::HttpRequest request("GET", std::move(health_path));
+  const auto head =
+      co_await exchange.Start(std::move(request), transport::ConnectionPolicy::kFresh);
+  co_return head.has_value();
+}
+
+asio::awaitable<bool> Connects(Edge edge, transport::Endpoint endpoint) {
+  const auto error = co_await transport::TryConnect(edge->io.get_executor(), std::move(endpoint),
+                                                    kConnectTimeout, kHoldTime);
+  co_return !error;
+}
+
 asio::awaitable<void> ProbeOne(std::shared_ptr<Probe> probe,
                                Edge edge,
-                               transport::Endpoint endpoint) {
-  const auto error =
-      co_await transport::TryConnect(edge->io.get_executor(), endpoint, kConnectTimeout, kHoldTime);
-  edge->metrics.Count("geranium_path_probes_total", {{"result", error ? "failed" : "reached"}});
+                               transport::Endpoint endpoint,
+                               std::string health_path) {
+  const bool needs_answer = !health_path.empty();
+  const bool reached = needs_answer ? co_await HasAnswer(edge, endpoint, health_path)
+                                    : co_await Connects(edge, endpoint);
+  edge->metrics.Count("geranium_path_probes_total", {{"kind", needs_answer ? "answer" : "connect"},
+                                                     {"result", reached ? "reached" : "failed"}});
   --probe->pending;
-  probe->reached = probe->reached || !error;
+  probe->reached = probe->reached || reached;
   if (probe->reached || probe->pending == 0) {
     probe->done.cancel();
   }
@@ -73,15 +111,24 @@
 
 // Checks whether the suspected path is lost.
 asio::awaitable<void> CheckPath(Edge edge) {
-  const TimePoint began = RuntimeClock::now();
+  TimePoint began = RuntimeClock::now();
   const auto upstreams = ChooseProbed(*edge, edge->path.settings.checked_upstreams);
   LogEvent(LogLevel::kInfo, "upstream_path_suspected",
-           {{"failed", DescribeFailures(edge->path)}, {"checked", DescribeUpstreams(upstreams)}});
-  const bool reached = co_await ReachesAny(edge, upstreams);
+           {{"failed", DescribeFailures(edge->path)},
+            {"checked", DescribeUpstreams(upstreams)},
+            {"needs_answer", edge->path.needs_answer}});
+  bool needs_answer = edge->path.needs_answer;
+  bool reached = co_await ReachesAny(edge, upstreams);
+  if (reached && !needs_answer && edge->path.needs_answer) {
+    // A request on a new connection got no answer during the check.
+    needs_answer = true;
+    began = RuntimeClock::now();
+    reached = co_await ReachesAny(edge, upstreams);
+  }
   const TimePoint now = RuntimeClock::now();
   if (reached) {
     RecordPathReached(*edge, began);
-  } else if (now - began > kMaxCheckTime || upstreams.empty()) {
+  } else if (now - began > MaxCheckTime(needs_answer) || upstreams.empty()) {
     dispatch::RecordPathUnchecked(edge->path, now);
   } else if (dispatch::RecordPathUnreached(edge->path, now)) {
     LogEvent(LogLevel::kWarn, "upstream_path_lost",
@@ -124,12 +171,11 @@
   }
 }
 
-// Returns since when the oldest request on a connection that had served before waits for bytes. A
-// new connection shows that the path was there, and others that are opened later show its loss.
+// Returns since when the oldest request waits for bytes from an upstream.
 TimePoint OldestWait(const EdgeState& edge) {
   TimePoint oldest = TimePoint::max();
   for (const RequestRun* run : edge.runs) {
-    if (run->active != nullptr && run->relay.empty() && run->active->UsedPooledConnection()) {
+    if (run->active != nullptr && run->relay.empty()) {
       oldest = std::min(oldest, std::max(run->sent_at, run->active_upstream->last_received_at));
     }
   }
@@ -138,9 +184,19 @@
 
 }  // namespace
 
-void RecordPathFailure(const Edge& edge, const dispatch::Upstream& upstream) {
+dispatch::PathSign SignOf(const transport::TransportError& error,
+                          const transport::HttpExchange& exchange) {
+  const bool was_sent = error.phase == transport::ExchangePhase::kWritingRequest ||
+                        error.phase == transport::ExchangePhase::kWaitingForResponse;
+  return was_sent && exchange.ConnectTime() ? dispatch::PathSign::kUnanswered
+                                            : dispatch::PathSign::kConnectionFailed;
+}
+
+void RecordPathFailure(const Edge& edge,
+                       const dispatch::Upstream& upstream,
+                       dispatch::PathSign sign) {
   if (dispatch::RecordPathFailure(edge->path, upstream.listing.id, edge->upstreams.rows.size(),
-                                  RuntimeClock::now())) {
+                                  RuntimeClock::now(), sign)) {
     asio::co_spawn(edge->io, CheckPath(edge), asio::detached);
   }
 }
@@ -164,7 +220,8 @@
     co_return;
   }
   RuntimeTimer timer(edge->io);
-  timer.expires_after(kMaxCheckTime);
+  // A check may be repeated once with answers.
+  timer.expires_after(MaxCheckTime(false) + MaxCheckTime(true));
   edge->waiting_for_path.insert(&timer);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   edge->waiting_for_path.erase(&timer);
@@ -175,7 +232,9 @@
   probe->pending = upstreams.size();
   for (const dispatch::UpstreamRow& row : upstreams) {
     if (auto endpoint = transport::ParseEndpoint(row->listing.address); endpoint) {
-      asio::co_spawn(edge->io, ProbeOne(probe, edge, std::move(*endpoint)), asio::detached);
+      asio::co_spawn(edge->io,
+                     ProbeOne(probe, edge, std::move(*endpoint), HealthPathOf(*edge, *row)),
+                     asio::detached);
     } else {
       --probe->pending;
     }
--- a/src/edge/internal/path_watch.h
+++ b/src/edge/internal/path_watch.h
@@ -11,8 +11,13 @@
 // connections, and probes upstreams. See docs/decisions/relay.md.
 namespace geraniumspread::edge::detail {
 
+// Returns what a failed exchange with an upstream shows about the path.
+dispatch::PathSign SignOf(const transport::TransportError& error,
+                          const transport::HttpExchange& exchange);
 // Records a failed connect to an upstream, or a connection to it that was lost or stayed silent.
-void RecordPathFailure(const Edge& edge, const dispatch::Upstream& upstream);
+void RecordPathFailure(const Edge& edge,
+                       const dispatch::Upstream& upstream,
+                       dispatch::PathSign sign = dispatch::PathSign::kConnectionFailed);
 // Records that a new connection to an upstream, opened at `connected_at` at the earliest, is of
 // use.
 void RecordPathReached(EdgeState& edge, TimePoint connected_at);
@@ -21,7 +26,8 @@
 }
 // Waits until the check that is under way, if any, has ended.
 boost::asio::awaitable<void> WaitForPathCheck(Edge edge);
-// Connects to these upstreams at the same time. Returns true once one is reached.
+// Probes these upstreams at the same time: connects, or sends a health check if the path needs an
+// answer. Returns true once one is reached.
 boost::asio::awaitable<bool> ReachesAny(Edge edge, std::vector<dispatch::UpstreamRow> upstreams);
 // Starts the probes that are due. Call at each tick.
 void TickPath(const Edge& edge);
--- a/src/edge/internal/relay.cc
+++ b/src/edge/internal/relay.cc
@@ -273,7 +273,7 @@
     const auto code = head.error().code;
     if (code == transport::TransportErrorCode::kConnectionClosed ||
         (not_sent && code != transport::TransportErrorCode::kCancelled)) {
-      RecordPathFailure(edge, *upstream);
+      RecordPathFailure(edge, *upstream, SignOf(head.error(), *exchange));
     }
     std::string reason = DescribeFailure(head.error());
     co_await SendFailure(*edge, call, not_sent ? kNotSent : kFailed, std::move(reason), responder);
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -24,6 +24,8 @@
 using transport::HttpResponse;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kHealthCheck = "GET /healthz ";
+constexpr std::string_view kHealthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 constexpr std::uint16_t kFirstPort = 21500;
 
 // Decodes the ids of the prompt parts, separated by commas.
@@ -168,6 +170,7 @@
     }
     config.routes["127.0.0.1"]["/stream/slow/"] = MakeSlowStream();
     config.services["app"].name = "app";
+    config.services["app"].health_path = "/healthz";
     config.keys["key"] = {"blue", std::nullopt};
     config.keys["s3cret-key"] = {"blue", std::nullopt};
     config.has_workspaces = true;
@@ -376,6 +379,12 @@
     if (error || length == 0) {
       continue;
     }
+    if (received.starts_with(kHealthCheck)) {
+      ++this->health_checks;
+      received.erase(0, length);
+      co_await asio::async_write(socket, asio::buffer(kHealthy), kAwait);
+      continue;
+    }
     this->requests.push_back(received.substr(0, length));
     received.erase(0, length);
     if (!this->crashes_on.empty() &&
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -47,8 +47,9 @@
   std::string Address() const;
   // Replaces the replies that are left.
   void SetReplies(std::deque<Reply> replies);
-  // Heads and bodies of the received requests, in order.
+  // Heads and bodies of the received requests, in order, without the health checks.
   std::vector<std::string> requests;
+  std::size_t health_checks = 0;
   std::size_t connections = 0;
   std::size_t closed_by_peer = 0;
   // If set, a request that contains this text crashes the process: all connections are reset
--- a/src/edge/tests/edge_path_control_test.cc
+++ b/src/edge/tests/edge_path_control_test.cc
@@ -14,8 +14,9 @@
 using test::PathFixture;
 
 constexpr int kTries = 20;
-constexpr std::array<PathFault, 4> kCuts = {PathFault::kHang, PathFault::kReset,
-                                            PathFault::kResetOnOpen, PathFault::kRefuseNew};
+constexpr std::array<PathFault, 6> kCuts = {PathFault::kHang,        PathFault::kReset,
+                                            PathFault::kResetOnOpen, PathFault::kRefuseNew,
+                                            PathFault::kStandStill,  PathFault::kResetOnSend};
 
 // Guards against an instance that takes one upstream that is down for a loss of its paths.
 BOOST_AUTO_TEST_CASE(OneUpstreamDownIsServedAround) {
--- a/src/edge/tests/edge_path_test.cc
+++ b/src/edge/tests/edge_path_test.cc
@@ -62,6 +62,19 @@
   CheckServedWhileCut(fixture, PathFault::kResetOnOpen);
 }
 
+// Guards against a check that only connects, which calls this path good: new connections stay open
+// until a request is sent.
+BOOST_AUTO_TEST_CASE(CallersAreServedWhileRequestsAreReset) {
+  PathFixture fixture;
+  CheckServedWhileCut(fixture, PathFault::kResetOnSend);
+}
+
+// The same for new connections that open and carry no bytes.
+BOOST_AUTO_TEST_CASE(CallersAreServedWhileNewConnectionsAreSilent) {
+  PathFixture fixture;
+  CheckServedWhileCut(fixture, PathFault::kStandStill);
+}
+
 BOOST_AUTO_TEST_CASE(CallersAreServedWhileNewConnectionsAreRefused) {
   PathFixture fixture;
   CheckServedWhileCut(fixture, PathFault::kRefuseNew);
--- a/src/edge/tests/path_fixture.cc
+++ b/src/edge/tests/path_fixture.cc
@@ -99,7 +99,8 @@
   this->fillers.clear();
   ++this->round;
   this->acceptor.close();
-  if (next == PathFault::kReset || next == PathFault::kResetOnOpen) {
+  if (next == PathFault::kReset || next == PathFault::kResetOnOpen ||
+      next == PathFault::kResetOnSend) {
     this->ResetLinks();
   }
   if (next != PathFault::kReset && next != PathFault::kRefuseNew) {
@@ -141,6 +142,11 @@
   while (!error) {
     std::size_t count = 0;
     std::tie(error, count) = co_await from.async_read_some(asio::buffer(chunk), kAwait);
+    if (!error && this->fault == PathFault::kResetOnSend) {
+      Reset(link->instance);
+      Reset(link->upstream);
+      co_return;
+    }
     while (StandsStill(this->fault)) {
       pause.expires_after(5ms);
       co_await pause.async_wait(kAwait);
--- a/src/edge/tests/path_fixture.h
+++ b/src/edge/tests/path_fixture.h
@@ -19,6 +19,7 @@
   kResetOnOpen,  // connections are reset, new ones as soon as they are open
   kRefuseNew,    // connections live on, new ones are refused
   kStandStill,   // new connections open, but no bytes pass
+  kResetOnSend,  // new connections open, and each is reset at the first byte sent on it
 };
 
 // The path of one instance to one upstream.
