edge: failed connects of a request are limited by time, not by number

Change: refused connects and misdirected sends no longer count while the request is within its latency goal; after it the limits of four and two apply as before. Connects that time out, and those that a relaying peer reports, keep the limit of four. Each send after a misdirected one still takes a retry from the budget; a retry whose connect then fails is left for the next send, since nothing was sent for it.

--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -440,10 +440,12 @@
                       const dispatch::UpstreamRow& upstream,
                       const Attempt& attempt,
                       const RelayStatement& statement,
-                      bool is_unsent) {
+                      bool is_unsent,
+                      bool may_be_slow) {
   if (is_unsent) {
     --run.sends;
     ++run.failed_connects;
+    run.slow_connects += may_be_slow ? 1 : 0;
   }
   if (run.relay.empty()) {
     RecordOutcome(run, upstream, attempt);
@@ -574,7 +576,9 @@
     failed->connection = exchange.Use();
     const bool is_unsent = head ? relayed.result == RelayStatement::Result::kNotSent
                                 : head.error().phase < ExchangePhase::kWritingRequest;
-    RecordUnanswered(run, chosen.row, *failed, relayed, is_unsent);
+    // A relaying peer doesn't say how long its connect took.
+    const bool may_be_slow = head || head.error().code == TransportErrorCode::kTimedOut;
+    RecordUnanswered(run, chosen.row, *failed, relayed, is_unsent, may_be_slow);
     co_return std::move(*failed);
   }
   RecordBytes(run, upstream);
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -22,7 +22,9 @@
 // No further attempt starts with less time left than this: the deadline would cut it off
 // at the upstream.
 constexpr Duration kMinRemaining = std::chrono::milliseconds(10);
-// Limit of failed connects for one request; each takes up to the connect timeout.
+// Limit of failed connects for one request; each takes up to the connect timeout. Refused connects
+// take about a millisecond and count only once the latency goal has passed, as do responses of
+// other processes: when processes end, over a hundred others may still be listed beside them.
 constexpr std::uint32_t kMaxFailedConnects = 4;
 constexpr std::uint32_t kMaxMisdirected = 2;
 // A request whose upstream was silent for this long when the path was lost gets no answer.
@@ -221,6 +223,7 @@
   }
   run.has_forgotten_connects = true;
   run.failed_connects = 0;
+  run.slow_connects = 0;
   std::erase_if(run.tried, [&run](const std::string& upstream) {
     return std::ranges::find(run.unreached, upstream) != run.unreached.end();
   });
@@ -388,12 +391,19 @@
       run.route.repeatability == dispatch::Repeatability::kNonRepeatable) {
     return false;
   }
-  if (run.sends == 0) {
-    return run.failed_connects < kMaxFailedConnects;
+  const bool is_within_goal = RuntimeClock::now() < run.started + run.route.latency_goal;
+  if (run.slow_connects >= kMaxFailedConnects ||
+      (run.failed_connects >= kMaxFailedConnects && !is_within_goal)) {
+    return false;
+  }
+  // A send that didn't take place leaves its retry for the next one.
+  if (run.sends <= run.granted_retries) {
+    return true;
   }
   // A misdirected send reached no upstream of the service, so it doesn't count against the
   // route's attempts.
-  if (run.sends - run.misdirected >= run.route.max_attempts || run.misdirected >= kMaxMisdirected) {
+  if (run.sends - run.misdirected >= run.route.max_attempts ||
+      (run.misdirected >= kMaxMisdirected && !is_within_goal)) {
     return false;
   }
   EdgeState& edge = *run.edge;
@@ -405,6 +415,7 @@
     LogEvent(LogLevel::kWarn, "retry_budget_empty",
              {{"request_id", run.request.id}, {"service", run.service.name}});
   }
+  run.granted_retries += granted ? 1 : 0;
   return granted;
 }
 
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -39,7 +39,11 @@
   std::vector<std::string> tried;
   // Attempts of which at least one byte may have reached the upstream.
   std::uint32_t sends = 0;
+  // Retries taken from the service's retry budget.
+  std::uint32_t granted_retries = 0;
   std::uint32_t failed_connects = 0;
+  // Failed connects that weren't refused at once but may have taken the connect timeout.
+  std::uint32_t slow_connects = 0;
   // Sends that reached a process other than the addressed upstream.
   std::uint32_t misdirected = 0;
   // At least one attempt may have run the request, and no response rules that out.
--- a/src/edge/tests/edge_test.cc
+++ b/src/edge/tests/edge_test.cc
@@ -315,6 +315,41 @@
   }
 }
 
+// Guards against a refusal beside an upstream that serves: many processes have ended and are still
+// listed, and each refused connect takes about a millisecond.
+BOOST_AUTO_TEST_CASE(ARequestPassesManyEndedProcesses) {
+  EdgeFixture fixture;
+  RawUpstream& live = fixture.AddUpstream({Events(1, 3)});
+  const std::uint64_t revision = fixture.revision + 1;
+  std::vector<dispatch::PublishedItem> ended;
+  for (int index = 10; index < 30; ++index) {
+    ended.push_back({"a" + std::to_string(index), "127.0.0.1:1", revision});
+  }
+  fixture.edge->OnPublishedChanges(std::move(ended), {0, revision});
+  BOOST_TEST(fixture.Call("/stream/slow/1").value().status == 200);
+  BOOST_TEST(live.requests.size() == 1U);
+}
+
+// Guards against the same where the addresses of the ended processes are in use again, and against
+// sends beyond the retry budget.
+BOOST_AUTO_TEST_CASE(ARequestPassesManyReplacedProcessesWithinTheRetryBudget) {
+  for (const double slack : {100.0, 0.0}) {
+    EdgeFixture fixture;
+    EdgeSettings settings = fixture.settings;
+    settings.retries.slack = slack;
+    fixture.edge->Reload(settings);
+    RawUpstream& other =
+        fixture.AddUpstream({{"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"}});
+    for (int listing = 0; listing < 4; ++listing) {
+      fixture.AddListing(other);
+    }
+    fixture.AddUpstream({Events(1, 3)});
+    const bool has_budget = slack > 0;
+    BOOST_TEST(fixture.Call("/stream/slow/1").value().status == (has_budget ? 200 : 503));
+    BOOST_TEST(other.requests.size() == (has_budget ? 5U : 1U));
+  }
+}
+
 // An error response of an upstream keeps its status and seal.
 BOOST_AUTO_TEST_CASE(AnErrorResponseOfTheUpstreamIsPassedOn) {
   EdgeFixture fixture;
