--- a/src/admission/admission_types.h
+++ b/src/admission/admission_types.h
@@ -51,9 +51,12 @@
 std::string_view ToString(RefusalCode code);
 // Returns the text of the `message` field.
 std::string_view MessageOf(RefusalCode code);
-// Returns a refusal with the status and retry flag of `code`. `retry_after` is raised to at least
-// kMinRetryAfter and lengthened by a jitter of up to a quarter, derived from `spread_seed` (the
-// request handle), so that callers that are refused together don't retry together.
+// Returns `retry_after` raised to at least kMinRetryAfter and lengthened by a jitter of up to a
+// quarter, derived from `spread_seed`.
+Duration SpreadRetryAfter(Duration retry_after, std::uint64_t spread_seed);
+// Returns a refusal with the status and retry flag of `code`. `retry_after` is spread by
+// `spread_seed` (the request handle), so that callers that are refused together don't retry
+// together.
 Refusal MakeRefusal(RefusalCode code, Duration retry_after, std::uint64_t spread_seed);
 // Returns the same refusal for a call whose ticket names another router: an earlier call with the
 // same ticket may have run there, so the run state is kUnknown.
--- a/src/admission/internal/admission_types.cc
+++ b/src/admission/internal/admission_types.cc
@@ -53,16 +53,20 @@
   return RowOf(code).message;
 }
 
-Refusal MakeRefusal(RefusalCode code, Duration retry_after, std::uint64_t spread_seed) {
+Duration SpreadRetryAfter(Duration retry_after, std::uint64_t spread_seed) {
   static constexpr std::uint64_t kSpreadSteps = 1'024;
+  const Duration base = std::max(retry_after, kMinRetryAfter);
+  const auto step = static_cast<Duration::rep>(MixHash(spread_seed, 1) % kSpreadSteps);
+  return base + base / 4 * step / static_cast<Duration::rep>(kSpreadSteps);
+}
+
+Refusal MakeRefusal(RefusalCode code, Duration retry_after, std::uint64_t spread_seed) {
   const CodeRow& row = RowOf(code);
   Refusal refusal{.code = code, .status = row.status, .retry = row.retry};
   if (!row.retry) {
     return refusal;
   }
-  const Duration base = std::max(retry_after, kMinRetryAfter);
-  const auto step = static_cast<Duration::rep>(MixHash(spread_seed, 1) % kSpreadSteps);
-  refusal.retry_after = base + base / 4 * step / static_cast<Duration::rep>(kSpreadSteps);
+  refusal.retry_after = SpreadRetryAfter(retry_after, spread_seed);
   return refusal;
 }
 
--- a/src/admission/internal/owner_queue.cc
+++ b/src/admission/internal/owner_queue.cc
@@ -38,7 +38,7 @@
 
 // Estimates the time in which the upstream takes `requests` from the queue.
 Duration TimeToServe(const OwnerQueue& queue, double requests) {
-  return Scale(MeanRunTime(queue), requests / std::max<std::uint32_t>(1, queue.slots));
+  return Scale(MeanRunTime(queue), requests / (queue.slots > 0 ? queue.slots : 1));
 }
 
 // Retry-After of a request that finds the queue full: the time until half of the queue is served.
@@ -311,21 +311,28 @@
   return queue;
 }
 
-void SetSlots(OwnerQueue& queue, std::uint32_t slots) {
+void SetSlots(OwnerQueue& queue, double slots) {
   queue.slots = slots;
 }
 
 void RecordRunTime(OwnerQueue& queue, PriorityClass priority, Duration run_time) {
+  RecordRunTime(queue, priority, run_time, run_time);
+}
+
+void RecordRunTime(OwnerQueue& queue,
+                   PriorityClass priority,
+                   Duration run_time,
+                   Duration answer_time) {
   // The estimate of the fastest run rises by 1/16 of the difference.
   static constexpr int kFastestRise = 16;
   RunTimeEstimate& estimate = queue.run_time.at(IndexOf(priority));
   if (!estimate.known) {
-    estimate = {.mean = run_time, .fastest = run_time, .known = true};
+    estimate = {.mean = run_time, .fastest = answer_time, .known = true};
     return;
   }
   estimate.mean += Scale(run_time - estimate.mean, queue.policy.run_time_gain);
   estimate.fastest =
-      std::min(run_time, estimate.fastest + (run_time - estimate.fastest) / kFastestRise);
+      std::min(answer_time, estimate.fastest + (answer_time - estimate.fastest) / kFastestRise);
 }
 
 EnqueueDecision Enqueue(OwnerQueue& queue, const QueuedRequest& request, TimePoint now) {
@@ -408,6 +415,10 @@
   return shed;
 }
 
+Duration TimePerDispatch(const OwnerQueue& queue) {
+  return TimeToServe(queue, 1);
+}
+
 Duration ExpectedWait(const OwnerQueue& queue, WorkspaceKey workspace, PriorityClass priority) {
   return TimeToServe(queue, RequestsAhead(queue, workspace, priority));
 }
--- a/src/admission/owner_queue.h
+++ b/src/admission/owner_queue.h
@@ -56,7 +56,7 @@
 // Observed run times at the upstream, per priority class.
 struct RunTimeEstimate {
   Duration mean{0};
-  // Tracks the shortest runs: falls at once, rises slowly.
+  // Tracks the shortest times until the answer: falls at once, rises slowly.
   Duration fastest{0};
   bool known = false;
 };
@@ -71,8 +71,9 @@
   // Dispatches that each class may still claim from its guaranteed share.
   std::array<double, kPriorityClassCount> credit{};
   std::array<RunTimeEstimate, kPriorityClassCount> run_time{};
-  // In-flight limit of the upstream, used to estimate waits.
-  std::uint32_t slots = 1;
+  // In-flight limit of the upstream, used to estimate waits. Below 1 for an instance that has only
+  // a part of a place.
+  double slots = 1;
   // Set while draining: the time at which the remaining queued requests are refused.
   std::optional<TimePoint> stop_at;
 };
@@ -100,9 +101,14 @@
 OwnerQueue MakeOwnerQueue(const QueuePolicy& policy);
 
 // Sets the in-flight limit of the upstream. Call when it changes.
-void SetSlots(OwnerQueue& queue, std::uint32_t slots);
+void SetSlots(OwnerQueue& queue, double slots);
 // Records how long a dispatched request ran.
 void RecordRunTime(OwnerQueue& queue, PriorityClass priority, Duration run_time);
+// The same for a request whose deadline applies to the begin of its answer, as with streams.
+void RecordRunTime(OwnerQueue& queue,
+                   PriorityClass priority,
+                   Duration run_time,
+                   Duration answer_time);
 
 // Queues the request or refuses it at once.
 EnqueueDecision Enqueue(OwnerQueue& queue, const QueuedRequest& request, TimePoint now);
@@ -122,6 +128,8 @@
 // leaving.
 std::vector<ShedRequest> RefuseAll(OwnerQueue& queue, RefusalCode code);
 
+// Estimates the time between two dispatches; zero until a run time is known.
+Duration TimePerDispatch(const OwnerQueue& queue);
 // Estimates how long a request of this workspace and class would wait if it were queued now.
 Duration ExpectedWait(const OwnerQueue& queue, WorkspaceKey workspace, PriorityClass priority);
 
