edge: requests wait for a place when the upstreams of a service are full

Cause: such a request was refused at once with a Retry-After of 300 ms.

Change: waiting_room.{h,cc} suspends requests and resumes them when their own instance frees a place, with each digest and each tick. A disconnect, the deadline, a stop, a lost service and the latest start end the wait. New requests join the queue while others wait, and while less than half of the places are free each instance keeps to its share of them. A plain upstream may hold as many requests as are served within the tightest goal of its service, at most 4 for each slot as before. All refusals as not run have a Retry-After of at least 50 ms, lengthened by up to a quarter; a known end of a pause or limit replaces the 300 ms also when it is sooner.

Measured: edge_waiting_test and the eleven other edge tests, the tests of the selection and of fleet load pass.

--- a/src/admission/internal/waiting_room.cc
+++ b/src/admission/internal/waiting_room.cc
@@ -138,6 +138,7 @@
       return;
     }
   }
+  ExpireFreedPlaces(room, place.at);
   room.freed_places.push_back(place);
 }
 
@@ -161,13 +162,11 @@
   if (!room.queue.waiting.empty()) {
     return false;
   }
-  if (!IsBusy(supply)) {
-    return true;
-  }
   UpdateCredit(room, supply, now);
   ExpireFreedPlaces(room, now);
   std::uint32_t free = supply.free - std::min(supply.free, room.on_their_way);
-  return TakePlace(room, free).has_value();
+  const bool has_place = TakePlace(room, free).has_value();
+  return has_place || !IsBusy(supply);
 }
 
 void RecordArrival(WaitingRoom& room) {
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -34,8 +34,6 @@
 constexpr Duration kNewEngineTime = std::chrono::seconds(15);
 // Fewer tokens are faster to compute than to fetch.
 constexpr std::uint32_t kMinFetchedTokens = 100;
-// Maximum requests at a plain upstream, as a multiple of its slots.
-constexpr std::uint32_t kPlainQueueFactor = 4;
 
 std::uint64_t Score(std::uint64_t key, const Upstream& upstream) {
   return MixHash(key, upstream.id_hash);
@@ -88,11 +86,6 @@
   return AdmitsBrittleSend(*candidate.row, send, request.now);
 }
 
-bool IsFull(const Upstream& upstream, std::uint32_t running, bool is_engine) {
-  const std::uint32_t places = upstream.listing.slots * (is_engine ? 1 : kPlainQueueFactor);
-  return running >= places;
-}
-
 // Returns the home of the prompt: the first engine in the rendezvous order of its
 // subject, which all instances compute alike. The first part is not a suitable key,
 // because one first part may be common to three quarters of all long prompts. If the
@@ -293,6 +286,39 @@
   return holder;
 }
 
+std::uint32_t PlacesAt(const Upstream& upstream, const SelectionRequest& request) {
+  if (request.is_engine) {
+    return upstream.listing.slots;
+  }
+  const double per_slot =
+      std::max(1.0, request.places_per_slot / ExpectedPace(upstream.pace, request.now));
+  return static_cast<std::uint32_t>(upstream.listing.slots * per_slot);
+}
+
+bool OffersPlaces(const UpstreamTable& table, const Upstream& upstream, TimePoint now) {
+  return TakesNewWork(table, upstream) && !IsPaused(upstream, now) && !IsCold(upstream, now) &&
+         now >= upstream.health.avoid_until && !upstream.limit.requests.per_second &&
+         !upstream.brittle.rejections.per_second;
+}
+
+ServicePlaces CountPlaces(const UpstreamTable& table, const SelectionRequest& request) {
+  ServicePlaces places;
+  const auto rows = table.by_service.find(std::string(request.service));
+  if (rows == table.by_service.end()) {
+    return places;
+  }
+  for (const UpstreamRow& row : rows->second) {
+    if (!OffersPlaces(table, *row, request.now)) {
+      continue;
+    }
+    const std::uint32_t at_upstream = PlacesAt(*row, request);
+    places.total += at_upstream;
+    places.free += at_upstream - std::min(at_upstream, EstimatedRunning(table, *row, request.now));
+    places.own += row->running;
+  }
+  return places;
+}
+
 Selection SelectUpstream(const UpstreamTable& table,
                          const SelectionSettings& settings,
                          const SelectionRequest& request) {
@@ -336,7 +362,8 @@
     } else if (request.now < row->health.avoid_until) {
       reached(SelectionFailure::kAllUnreachable);
       unreachable.push_back(std::move(candidate));
-    } else if (IsFull(*row, candidate.running, request.is_engine)) {
+    } else if (candidate.running >= PlacesAt(*row, request) &&
+               row->id_hash != request.inherited_place) {
       reached(SelectionFailure::kAllFull);
     } else {
       selection.candidates.push_back(std::move(candidate));
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -49,6 +49,12 @@
   std::span<const std::string> tried;
   // Only upstreams of this version, if set: the request continues a stream that began there.
   std::optional<std::uint64_t> version;
+  // Requests that a plain upstream may hold for each of its slots while work takes as long as
+  // usual. More would make them late; 4 if that isn't known.
+  double places_per_slot = 4;
+  // Hash of an upstream that may be chosen although it looks full, or 0: the request takes the
+  // place over that another one of this instance has just freed there.
+  std::uint64_t inherited_place = 0;
   TimePoint now;
 };
 
@@ -111,6 +117,20 @@
                                  const SelectionRequest& request,
                                  const Upstream& chosen);
 
+// Requests of all instances that the upstream may hold, running or queued there.
+std::uint32_t PlacesAt(const Upstream& upstream, const SelectionRequest& request);
+
+// Places at the upstreams of a service that new requests may use without a rate limit.
+struct ServicePlaces {
+  std::uint32_t total = 0;
+  std::uint32_t free = 0;
+  // Held by requests of this instance.
+  std::uint32_t own = 0;
+};
+ServicePlaces CountPlaces(const UpstreamTable& table, const SelectionRequest& request);
+// True if a place that a request frees at the upstream counts in CountPlaces.
+bool OffersPlaces(const UpstreamTable& table, const Upstream& upstream, TimePoint now);
+
 Selection SelectUpstream(const UpstreamTable& table,
                          const SelectionSettings& settings,
                          const SelectionRequest& request);
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -134,6 +134,8 @@
   RunState ran = RunState::kNotRun;
   // When the caller may retry; zero if unknown.
   Duration retry_after{0};
+  // `retry_after` differs between callers that are refused together.
+  bool is_spread = false;
 };
 
 // Decoded published items.
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -191,6 +191,7 @@
       running.RecordPrefillDone();
       if (!first_event_at) {
         first_event_at = now;
+        run.answer_began_at = now;
         RecordAnswerBegin(run);
         RecordStreamBegin(run, *run.active_upstream);
       }
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -17,6 +17,7 @@
 #include "edge/internal/request_run.h"
 #include "edge/internal/status_page.h"
 #include "edge/internal/stream_resumption.h"
+#include "edge/internal/waiting_room.h"
 
 namespace geraniumspread::edge {
 namespace detail {
@@ -125,6 +126,7 @@
   SendBrittleNews(edge);
   PullIfBehind(edge);
   PullRetained(edge);
+  PumpWaitingRooms(*edge);
   if (edge->stopping) {
     FinishStopIfDrained(*edge);
   }
@@ -299,6 +301,7 @@
   this->state->stop_at = RuntimeClock::now();
   this->state->stopped = std::move(stopped);
   this->state->caller_server->StopKeepAlive();
+  detail::CloseWaitingRooms(*this->state);
   detail::SendDigests(*this->state);
 }
 
--- a/src/edge/internal/edge_state.h
+++ b/src/edge/internal/edge_state.h
@@ -16,6 +16,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "admission/waiting_room.h"
 #include "common/hash.h"
 #include "common/runtime_timer.h"
 #include "dispatch/crash_quarantine.h"
@@ -44,6 +45,24 @@
   std::vector<dispatch::RequestTraits> requests;
 };
 
+// A request that waits for a place at an upstream.
+struct WaitingRequest {
+  explicit WaitingRequest(boost::asio::io_context& io) : timer(io) {}
+
+  // Cancelled when the wait ends early.
+  RuntimeTimer timer;
+  bool is_released = false;
+  // As in admission::ReleasedRequest.
+  std::uint64_t upstream = 0;
+  std::optional<admission::Refusal> refusal;
+};
+
+// The waiting requests of one service.
+struct ServiceRoom {
+  admission::WaitingRoom room;
+  std::unordered_map<admission::RequestHandle, WaitingRequest*> waiting;
+};
+
 struct EdgeState {
   EdgeState(boost::asio::io_context& context, EdgeSettings edge_settings, PlatformCodec platform)
       : io(context),
@@ -77,6 +96,9 @@
   dispatch::UpstreamPath path;
   // Timers of requests that wait for the end of a check of the path.
   std::unordered_set<RuntimeTimer*> waiting_for_path;
+  // By service.
+  std::unordered_map<std::string, ServiceRoom> waiting_rooms;
+  admission::RequestHandle wait_sequence = 0;
   dispatch::RelayRules relays;
   dispatch::StoreOutage store_outage;
   bool feed_reachable = false;
@@ -149,6 +171,10 @@
       dispatch::AssumedInstances({.known = dispatch::KnownInstances(edge.peers)});
   selection_request.now = RuntimeClock::now();
   selection_request.knows_fleet = dispatch::KnowsFleet(edge.peers, selection_request.now);
+  if (const auto room = edge.waiting_rooms.find(rules.name); room != edge.waiting_rooms.end()) {
+    selection_request.places_per_slot = admission::PlacesPerSlot(
+        room->second.room, rules.tightest_goal, selection_request.places_per_slot);
+  }
   return selection_request;
 }
 
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -16,6 +16,7 @@
 #include "edge/internal/published_feed.h"
 #include "edge/internal/relay.h"
 #include "edge/internal/stream_resumption.h"
+#include "edge/internal/waiting_room.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -209,6 +210,7 @@
                 {"revision", digest->published.revision},
                 {"instances", dispatch::KnownInstances(edge->peers)}});
     }
+    PumpWaitingRooms(*edge);
     PullIfBehind(edge);
   }
 }
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <span>
+#include <utility>
 
+#include "admission/admission_types.h"
 #include "common/hash.h"
 #include "dispatch/named_limits.h"
 #include "edge/internal/attempt.h"
@@ -11,6 +13,7 @@
 #include "edge/internal/path_watch.h"
 #include "edge/internal/relay.h"
 #include "edge/internal/stream_resumption.h"
+#include "edge/internal/waiting_room.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -47,6 +50,9 @@
                              std::string request_id,
                              Refusal refusal,
                              transport::HttpResponder& responder) {
+  if (refusal.ran == RunState::kNotRun && refusal.retry_after > Duration{0} && !refusal.is_spread) {
+    refusal.retry_after = admission::SpreadRetryAfter(refusal.retry_after, StableHash(request_id));
+  }
   LogEvent(LogLevel::kWarn, "request_refused",
            {{"request_id", request_id},
             {"status", refusal.status},
@@ -100,6 +106,7 @@
   selection_request.tried = run.tried;
   selection_request.version = run.stream_version;
   selection_request.latency_goal = run.route.latency_goal;
+  selection_request.inherited_place = run.inherited_place;
   dispatch::Selection selection =
       dispatch::SelectUpstream(edge.upstreams, edge.settings.selection, selection_request);
   if (!selection.candidates.empty()) {
@@ -200,7 +207,7 @@
   if (!end) {
     end = dispatch::EarliestLimitedSend(upstreams, run.service.name);
   }
-  return std::max(kBusyRetryAfter, end.value_or(now) - now);
+  return end ? std::max(admission::kMinRetryAfter, *end - now) : kBusyRetryAfter;
 }
 
 Refusal FinalRefusal(const RequestRun& run, std::string_view code, std::string reason) {
@@ -229,6 +236,19 @@
   });
 }
 
+// Waits before the first attempt if the upstreams are busy. Returns a refusal if the request must
+// not be sent. A stream that continues at a version selects first: not every place is of use to it.
+asio::awaitable<std::optional<Refusal>> AwaitEntry(RequestRun& run) {
+  if (run.stream_version) {
+    co_return std::nullopt;
+  }
+  ServiceEntry entry = EnterService(run);
+  if (entry.must_wait) {
+    co_return co_await WaitForRoom(run);
+  }
+  co_return std::move(entry.refusal);
+}
+
 // Runs attempts until one delivers a response or no other is allowed.
 asio::awaitable<void> RunAttempts(RequestRun& run, transport::HttpResponder& responder) {
   const std::vector<std::uint64_t> peer_hashes = dispatch::PeerHashes(run.edge->peers);
@@ -238,19 +258,32 @@
   std::string code = "no_upstream";
   std::string reason;
   bool is_version_gone = false;
-  while (run.stopped == StopReason::kNone) {
+  std::optional<Refusal> no_room;
+  bool has_entered = false;
+  while (!no_room && run.stopped == StopReason::kNone) {
     quarantine = FindQuarantine(run, peer_hashes);
     if (quarantine) {
       code = "quarantined";
       reason = "requests with the trait " + Hexadecimal(quarantine->trait) + " crash upstreams";
       break;
     }
+    if (!std::exchange(has_entered, true)) {
+      no_room = co_await AwaitEntry(run);
+      continue;
+    }
     const dispatch::Selection selection = Select(run, peer_hashes);
     if (selection.candidates.empty()) {
+      if (selection.failure == dispatch::SelectionFailure::kAllFull) {
+        no_room = co_await WaitForRoom(run);
+        continue;
+      }
       is_version_gone = selection.failure == dispatch::SelectionFailure::kNoneOfVersion;
       reason = reason.empty() ? std::string(dispatch::ToString(selection.failure)) : reason;
       break;
     }
+    run.place = selection.candidates.front().row;
+    run.inherited_place = 0;
+    run.is_returning = false;
     Attempt attempt = co_await RunAttempt(run, selection.candidates.front(), responder);
     LogAttempt(run, selection, attempt);
     run.edge->metrics.Count("geranium_attempts_total", {{"result", ToString(attempt.result)}});
@@ -258,6 +291,7 @@
     run.misdirected += attempt.result == AttemptResult::kMisdirected ? 1 : 0;
     run.may_have_run = run.may_have_run || ran != RunState::kNotRun;
     if (attempt.result == AttemptResult::kDelivered) {
+      RecordPlaceUse(run);
       co_return;
     }
     code = ToString(attempt.result);
@@ -280,7 +314,15 @@
     co_await responder.Send(std::move(response));
     co_return;
   }
+  if (no_room && reason.empty()) {
+    code = no_room->code;
+    reason = no_room->message;
+  }
   Refusal refusal = FinalRefusal(run, code, std::move(reason));
+  if (no_room && refusal.ran == RunState::kNotRun) {
+    refusal.retry_after = no_room->retry_after;
+    refusal.is_spread = no_room->is_spread;
+  }
   if (quarantine && refusal.ran == RunState::kNotRun) {
     refusal.retry_after = quarantine->remaining;
   }
@@ -381,6 +423,9 @@
   if (run.active != nullptr) {
     run.active->Cancel();
   }
+  if (run.wait_timer != nullptr) {
+    run.wait_timer->cancel();
+  }
 }
 
 bool TryAcquireRetry(RequestRun& run, RunState ran) {
@@ -468,6 +513,7 @@
     }
   }
   co_await RunAttempts(*run, responder);
+  FreePlace(*run);
   run->expiry.cancel();
   run->edge->metrics.ObserveTime("geranium_request_seconds", RuntimeClock::now() - started);
 }
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -52,6 +52,16 @@
   transport::HttpExchange* active = nullptr;
   dispatch::UpstreamRow active_upstream;
   TimePoint sent_at;
+  // When the first event of a stream arrived, if it did.
+  TimePoint answer_began_at;
+  // The upstream at which the request holds a place; null while it waits.
+  dispatch::UpstreamRow place;
+  // Hash of the upstream whose place the request may take although it looks full, or 0.
+  std::uint64_t inherited_place = 0;
+  // Set while the request waits for a place.
+  RuntimeTimer* wait_timer = nullptr;
+  // The request was released from a wait and has not been sent since.
+  bool is_returning = false;
   // Address of the peer that relays the current attempt; empty for a direct one.
   std::string relay;
   // Upstreams that this instance could not reach itself.
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,9 @@
   transport::Result<transport::HttpResponse> Call(const std::string& target,
                                                   transport::HttpHeaders headers = {},
                                                   std::string body = "order");
+  // Sends one request. The response is set once it has arrived.
+  std::shared_ptr<std::optional<transport::Result<transport::HttpResponse>>>
+  Begin(const std::string& target, transport::HttpHeaders headers = {}, std::string body = "order");
   // Returns the body of an operators' page.
   std::string Ask(const std::string& target);
   // Sends `bytes` unchanged and returns everything received until the connection is idle or
@@ -101,6 +105,8 @@
   std::size_t current = 0;
   std::vector<std::unique_ptr<RawUpstream>> upstreams;
   std::size_t listings = 0;
+  // Added to the published value of each upstream: its failure domain and its slots.
+  std::string listing_details;
   std::uint64_t revision = 1;
   // Era of the store.
   std::uint64_t era = 0;
