--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -204,6 +204,7 @@
       running.RecordPrefillDone();
       if (!first_event_at) {
         first_event_at = now;
+        run.answer_began_at = now;
         RecordAnswerBegin(run);
         RecordStreamBegin(run, *run.active_upstream);
       }
@@ -469,9 +470,12 @@
                       const std::optional<transport::TransportError>& error) {
   const bool is_unsent = error ? error->phase < ExchangePhase::kWritingRequest
                                : statement.result == RelayStatement::Result::kNotSent;
+  // A relaying peer doesn't say how long its connect took.
+  const bool may_be_slow = !error || error->code == TransportErrorCode::kTimedOut;
   if (is_unsent) {
     --run.sends;
     ++run.failed_connects;
+    run.slow_connects += may_be_slow ? 1 : 0;
   }
   if (run.relay.empty()) {
     RecordOutcome(run, upstream, attempt);
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <span>
+#include <utility>
 
+#include "admission/admission_types.h"
 #include "common/hash.h"
 #include "dispatch/named_limits.h"
 #include "edge/internal/attempt.h"
@@ -11,6 +13,7 @@
 #include "edge/internal/path_watch.h"
 #include "edge/internal/relay.h"
 #include "edge/internal/stream_resumption.h"
+#include "edge/internal/waiting_room.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -22,7 +25,9 @@
 // No further attempt starts with less time left than this: the deadline would cut it off
 // at the upstream.
 constexpr Duration kMinRemaining = std::chrono::milliseconds(10);
-// Limit of failed connects for one request; each takes up to the connect timeout.
+// Limit of failed connects for one request; each takes up to the connect timeout. Refused connects
+// take about a millisecond and count only once the latency goal has passed, as do responses of
+// other processes: when processes end, over a hundred others may still be listed beside them.
 constexpr std::uint32_t kMaxFailedConnects = 4;
 constexpr std::uint32_t kMaxMisdirected = 2;
 // A request whose upstream was silent for this long when the path was lost gets no answer.
@@ -45,6 +50,9 @@
                              std::string request_id,
                              Refusal refusal,
                              transport::HttpResponder& responder) {
+  if (refusal.ran == RunState::kNotRun && refusal.retry_after > Duration{0} && !refusal.is_spread) {
+    refusal.retry_after = admission::SpreadRetryAfter(refusal.retry_after, StableHash(request_id));
+  }
   LogEvent(LogLevel::kWarn, "request_refused",
            {{"request_id", request_id},
             {"status", refusal.status},
@@ -98,6 +106,7 @@
   selection_request.tried = run.tried;
   selection_request.version = run.stream_version;
   selection_request.latency_goal = run.route.latency_goal;
+  selection_request.inherited_place = run.inherited_place;
   dispatch::Selection selection =
       dispatch::SelectUpstream(edge.upstreams, edge.settings.selection, selection_request);
   if (!selection.candidates.empty()) {
@@ -198,7 +207,7 @@
   if (!end) {
     end = dispatch::EarliestLimitedSend(upstreams, run.service.name);
   }
-  return std::max(kBusyRetryAfter, end.value_or(now) - now);
+  return end ? std::max(admission::kMinRetryAfter, *end - now) : kBusyRetryAfter;
 }
 
 Refusal FinalRefusal(const RequestRun& run, std::string_view code, std::string reason) {
@@ -221,11 +230,25 @@
   }
   run.has_forgotten_connects = true;
   run.failed_connects = 0;
+  run.slow_connects = 0;
   std::erase_if(run.tried, [&run](const std::string& upstream) {
     return std::ranges::find(run.unreached, upstream) != run.unreached.end();
   });
 }
 
+// Waits before the first attempt if the upstreams are busy. Returns a refusal if the request must
+// not be sent. A stream that continues at a version selects first: not every place is of use to it.
+asio::awaitable<std::optional<Refusal>> AwaitEntry(RequestRun& run) {
+  if (run.stream_version) {
+    co_return std::nullopt;
+  }
+  ServiceEntry entry = EnterService(run);
+  if (entry.must_wait) {
+    co_return co_await WaitForRoom(run);
+  }
+  co_return std::move(entry.refusal);
+}
+
 // Runs attempts until one delivers a response or no other is allowed.
 asio::awaitable<void> RunAttempts(RequestRun& run, transport::HttpResponder& responder) {
   const std::vector<std::uint64_t> peer_hashes = dispatch::PeerHashes(run.edge->peers);
@@ -235,19 +258,32 @@
   std::string code = "no_upstream";
   std::string reason;
   bool is_version_gone = false;
-  while (run.stopped == StopReason::kNone) {
+  std::optional<Refusal> no_room;
+  bool has_entered = false;
+  while (!no_room && run.stopped == StopReason::kNone) {
     quarantine = FindQuarantine(run, peer_hashes);
     if (quarantine) {
       code = "quarantined";
       reason = "requests with the trait " + Hexadecimal(quarantine->trait) + " crash upstreams";
       break;
     }
+    if (!std::exchange(has_entered, true)) {
+      no_room = co_await AwaitEntry(run);
+      continue;
+    }
     const dispatch::Selection selection = Select(run, peer_hashes);
     if (selection.candidates.empty()) {
+      if (selection.failure == dispatch::SelectionFailure::kAllFull) {
+        no_room = co_await WaitForRoom(run);
+        continue;
+      }
       is_version_gone = selection.failure == dispatch::SelectionFailure::kNoneOfVersion;
       reason = reason.empty() ? std::string(dispatch::ToString(selection.failure)) : reason;
       break;
     }
+    run.place = selection.candidates.front().row;
+    run.inherited_place = 0;
+    run.is_returning = false;
     Attempt attempt = co_await RunAttempt(run, selection.candidates.front(), responder);
     LogAttempt(run, selection, attempt);
     run.edge->metrics.Count("geranium_attempts_total", {{"result", ToString(attempt.result)}});
@@ -255,6 +291,7 @@
     run.misdirected += attempt.result == AttemptResult::kMisdirected ? 1 : 0;
     run.may_have_run = run.may_have_run || ran != RunState::kNotRun;
     if (attempt.result == AttemptResult::kDelivered) {
+      RecordPlaceUse(run);
       co_return;
     }
     code = ToString(attempt.result);
@@ -277,7 +314,15 @@
     co_await responder.Send(std::move(response));
     co_return;
   }
+  if (no_room && reason.empty()) {
+    code = no_room->code;
+    reason = no_room->message;
+  }
   Refusal refusal = FinalRefusal(run, code, std::move(reason));
+  if (no_room && refusal.ran == RunState::kNotRun) {
+    refusal.retry_after = no_room->retry_after;
+    refusal.is_spread = no_room->is_spread;
+  }
   if (quarantine && refusal.ran == RunState::kNotRun) {
     refusal.retry_after = quarantine->remaining;
   }
@@ -378,6 +423,9 @@
   if (run.active != nullptr) {
     run.active->Cancel();
   }
+  if (run.wait_timer != nullptr) {
+    run.wait_timer->cancel();
+  }
 }
 
 bool TryAcquireRetry(RequestRun& run, RunState ran) {
@@ -388,12 +436,19 @@
       run.route.repeatability == dispatch::Repeatability::kNonRepeatable) {
     return false;
   }
-  if (run.sends == 0) {
-    return run.failed_connects < kMaxFailedConnects;
+  const bool is_within_goal = RuntimeClock::now() < run.started + run.route.latency_goal;
+  if (run.slow_connects >= kMaxFailedConnects ||
+      (run.failed_connects >= kMaxFailedConnects && !is_within_goal)) {
+    return false;
+  }
+  // A send that didn't take place leaves its retry for the next one.
+  if (run.sends <= run.granted_retries) {
+    return true;
   }
   // A misdirected send reached no upstream of the service, so it doesn't count against the
   // route's attempts.
-  if (run.sends - run.misdirected >= run.route.max_attempts || run.misdirected >= kMaxMisdirected) {
+  if (run.sends - run.misdirected >= run.route.max_attempts ||
+      (run.misdirected >= kMaxMisdirected && !is_within_goal)) {
     return false;
   }
   EdgeState& edge = *run.edge;
@@ -405,6 +460,7 @@
     LogEvent(LogLevel::kWarn, "retry_budget_empty",
              {{"request_id", run.request.id}, {"service", run.service.name}});
   }
+  run.granted_retries += granted ? 1 : 0;
   return granted;
 }
 
@@ -457,6 +513,7 @@
     }
   }
   co_await RunAttempts(*run, responder);
+  FreePlace(*run);
   run->expiry.cancel();
   run->edge->metrics.ObserveTime("geranium_request_seconds", RuntimeClock::now() - started);
 }
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -39,7 +39,11 @@
   std::vector<std::string> tried;
   // Attempts of which at least one byte may have reached the upstream.
   std::uint32_t sends = 0;
+  // Retries taken from the service's retry budget.
+  std::uint32_t granted_retries = 0;
   std::uint32_t failed_connects = 0;
+  // Failed connects that weren't refused at once but may have taken the connect timeout.
+  std::uint32_t slow_connects = 0;
   // Sends that reached a process other than the addressed upstream.
   std::uint32_t misdirected = 0;
   // At least one attempt may have run the request, and no response rules that out.
@@ -48,6 +52,16 @@
   transport::HttpExchange* active = nullptr;
   dispatch::UpstreamRow active_upstream;
   TimePoint sent_at;
+  // When the first event of a stream arrived, if it did.
+  TimePoint answer_began_at;
+  // The upstream at which the request holds a place; null while it waits.
+  dispatch::UpstreamRow place;
+  // Hash of the upstream whose place the request may take although it looks full, or 0.
+  std::uint64_t inherited_place = 0;
+  // Set while the request waits for a place.
+  RuntimeTimer* wait_timer = nullptr;
+  // The request was released from a wait and has not been sent since.
+  bool is_returning = false;
   // Address of the peer that relays the current attempt; empty for a direct one.
   std::string relay;
   // Upstreams that this instance could not reach itself.
