dispatch: peers learn of processes that refuse connects or were replaced

Cause: each instance finds an ended process with requests of its own. Change: an instance tells refused connects and answers of another process to its peers in the datagram upstreams-1, which avoid that process as if they had seen it themselves. Nothing is told while the own path is suspected or lost, nor of relayed attempts or connects that timed out. TransportError says whether a connect was refused.

--- a/src/dispatch/internal/upstream_path.cc
+++ b/src/dispatch/internal/upstream_path.cc
@@ -140,6 +140,7 @@
   for (const UnreachedUpstream& failure : path.failures) {
     if (const auto row = upstreams.rows.find(failure.id); row != upstreams.rows.end()) {
       row->second->health = {};
+      row->second->ended = {};
     }
   }
 }
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -244,6 +244,7 @@
 void RecordAttemptSuccess(UpstreamHealth& health, TimePoint now) {
   health.connect_failures = 0;
   health.avoid_until = {};
+  health.succeeded_at = now;
   UpdateFailureRate(health, 0, now);
 }
 
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -43,6 +43,22 @@
   TimePoint rated_at;
   std::uint32_t connect_failures = 0;
   TimePoint avoid_until;
+  TimePoint succeeded_at;
+};
+
+// Sign that the process of an upstream has ended.
+struct EndedProcessSign {
+  TimePoint observed_at;
+  // Another process answered at the address. Otherwise a connect was refused.
+  bool is_replaced = false;
+};
+
+struct EndedProcessSigns {
+  // Newest sign that this instance or a peer observed.
+  EndedProcessSign newest;
+  // Newest sign that this instance observed, and the number of messages that still carry it.
+  EndedProcessSign own;
+  std::uint32_t sends_left = 0;
 };
 
 // Load that the upstream reported in a response to this instance or to a peer.
@@ -131,6 +147,7 @@
   std::optional<LoadReport> report;
   UpstreamPace pace;
   UpstreamHealth health;
+  EndedProcessSigns ended;
   // When this instance last received bytes from the upstream.
   TimePoint last_received_at;
   PromptCacheModel prompt_cache;
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -13,6 +13,7 @@
 #include "edge/internal/path_watch.h"
 #include "edge/internal/relay.h"
 #include "edge/internal/stream_resumption.h"
+#include "edge/internal/upstream_news_exchange.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -120,6 +121,9 @@
   }
   if (not_sent) {
     dispatch::RecordConnectFailure(upstream.health, now);
+    if (error.is_refused) {
+      dispatch::RecordEndedProcess(upstream, dispatch::EndedProcess::kRefusesConnects, now);
+    }
   } else {
     dispatch::RecordAttemptFailure(upstream.health, now);
   }
@@ -271,6 +275,9 @@
   const TimePoint now = RuntimeClock::now();
   if (answer.wrong_upstream) {
     dispatch::RecordReplacement(upstream.health, now);
+    if (run.relay.empty() && !IsPathLost(*run.edge)) {
+      dispatch::RecordEndedProcess(upstream, dispatch::EndedProcess::kReplaced, now);
+    }
     attempt.result = AttemptResult::kMisdirected;
     attempt.reason = "address_of_another_upstream";
     co_return attempt;
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -17,6 +17,7 @@
 #include "edge/internal/request_run.h"
 #include "edge/internal/status_page.h"
 #include "edge/internal/stream_resumption.h"
+#include "edge/internal/upstream_news_exchange.h"
 
 namespace geraniumspread::edge {
 namespace detail {
@@ -123,6 +124,7 @@
   TickCrashEvidence(*edge);
   SendLimitNews(*edge);
   SendBrittleNews(edge);
+  SendUpstreamNews(*edge);
   PullIfBehind(edge);
   PullRetained(edge);
   if (edge->stopping) {
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -26,6 +26,7 @@
 constexpr std::string_view kLimitNewsMarker = "limits-1";
 constexpr std::string_view kBrittleNewsMarker = "brittle-1";
 constexpr std::string_view kOriginsMarker = "origins-1";
+constexpr std::string_view kUpstreamNewsMarker = "upstreams-1";
 constexpr std::size_t kMarkedFields = 2;
 constexpr double kThousand = 1000;
 constexpr unsigned kLeaving = 1;
@@ -195,6 +196,27 @@
   return news;
 }
 
+constexpr double kPercent = 100;
+constexpr std::uint32_t kMaxPacePercent = 10'000;
+
+dispatch::UpstreamNews DecodeUpstreamRow(const Cbor& row) {
+  dispatch::UpstreamNews news;
+  news.upstream_key = Number<std::uint32_t>(row.at(0));
+  news.process = Number<std::uint32_t>(row.at(1));
+  if (!row.at(2).is_null()) {
+    const auto percent = Number<std::uint32_t>(row.at(2));
+    if (percent > 0 && percent <= kMaxPacePercent) {
+      news.pace = percent / kPercent;
+    }
+  }
+  news.pace_age = DecodeLongAge(row.at(3));
+  if (!row.at(4).is_null()) {
+    news.ended_age = DecodeLongAge(row.at(4));
+  }
+  news.is_replaced = Number<std::uint32_t>(row.at(5)) == 1;
+  return news;
+}
+
 StreamOrigin DecodeOriginRow(const Cbor& row) {
   return {Number<std::uint64_t>(row.at(0)), Number<std::uint64_t>(row.at(1))};
 }
@@ -425,6 +447,29 @@
   return DecodeMarked(bytes, kBrittleNewsMarker, DecodeBrittleRow);
 }
 
+// News of upstreams is a CBOR array of a marker and one row an upstream: key, start of the process
+// in milliseconds modulo 2^32, pace in percent or null, age of the pace, age of the refused connect
+// or null, and 1 if another process answered. Ages are in milliseconds.
+std::string EncodeUpstreamNews(const std::vector<dispatch::UpstreamNews>& news) {
+  Cbor rows = Cbor::array();
+  for (const dispatch::UpstreamNews& entry : news) {
+    const Cbor pace =
+        entry.pace ? Cbor(std::clamp<long>(std::lround(*entry.pace * kPercent), 1, kMaxPacePercent))
+                   : Cbor(nullptr);
+    const Cbor ended = entry.ended_age ? Cbor(WholeMilliseconds(*entry.ended_age)) : Cbor(nullptr);
+    rows.push_back(
+        Cbor::array({entry.upstream_key, entry.process, pace, WholeMilliseconds(entry.pace_age),
+                     ended, entry.is_replaced ? 1 : 0}));
+  }
+  std::string bytes;
+  Cbor::to_cbor(Cbor::array({kUpstreamNewsMarker, std::move(rows)}), bytes);
+  return bytes;
+}
+
+std::optional<std::vector<dispatch::UpstreamNews>> DecodeUpstreamNews(std::string_view bytes) {
+  return DecodeMarked(bytes, kUpstreamNewsMarker, DecodeUpstreamRow);
+}
+
 // Origins are a CBOR array of a marker and one row a stream: stream, version.
 std::string EncodeOrigins(const std::vector<StreamOrigin>& origins) {
   Cbor rows = Cbor::array();
--- a/src/edge/internal/peer_codec.h
+++ b/src/edge/internal/peer_codec.h
@@ -14,6 +14,7 @@
 #include "dispatch/peer_table.h"
 #include "dispatch/published_state.h"
 #include "dispatch/store_restore.h"
+#include "dispatch/upstream_news.h"
 
 namespace geraniumspread::edge::detail {
 
@@ -28,6 +29,8 @@
 std::optional<std::vector<dispatch::LimitNews>> DecodeLimitNews(std::string_view bytes);
 std::string EncodeBrittleNews(const std::vector<dispatch::BrittleNews>& news);
 std::optional<std::vector<dispatch::BrittleNews>> DecodeBrittleNews(std::string_view bytes);
+std::string EncodeUpstreamNews(const std::vector<dispatch::UpstreamNews>& news);
+std::optional<std::vector<dispatch::UpstreamNews>> DecodeUpstreamNews(std::string_view bytes);
 
 // Version at which a stream began, both as hashes.
 using StreamOrigin = std::pair<std::uint64_t, std::uint64_t>;
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -16,6 +16,7 @@
 #include "edge/internal/published_feed.h"
 #include "edge/internal/relay.h"
 #include "edge/internal/stream_resumption.h"
+#include "edge/internal/upstream_news_exchange.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -29,6 +30,8 @@
 // this many, and those who learn something new pass it on.
 constexpr std::size_t kMaxPeersToldAtOnce = 12;
 constexpr std::size_t kNewsTargets = 4;
+// News that is not passed on and soon of no use goes to this many.
+constexpr std::size_t kUrgentNewsTargets = 16;
 constexpr std::size_t kMaxDatagramBytes = std::size_t{2} * 1024;
 constexpr std::string_view kStateTarget = "/published?after=";
 constexpr std::string_view kEraParameter = "&era=";
@@ -186,7 +189,8 @@
     const auto digest = DecodeDigest(bytes);
     if (!digest && edge->peers.peers.contains(address) &&
         (ReceiveCrashEvidence(*edge, bytes, address) || ReceiveLimitNews(*edge, bytes, address) ||
-         ReceiveBrittleNews(*edge, bytes, address) || ReceiveOrigins(*edge, bytes))) {
+         ReceiveBrittleNews(*edge, bytes, address) || ReceiveOrigins(*edge, bytes) ||
+         ReceiveUpstreamNews(*edge, bytes, address))) {
       continue;
     }
     // Accept a digest only from the address that it describes.
@@ -228,12 +232,12 @@
   }
 }
 
-void SendNews(EdgeState& edge, const std::string& bytes) {
+void SendNews(EdgeState& edge, const std::string& bytes, bool is_urgent) {
   std::vector<std::string> targets =
       dispatch::DigestTargets(edge.peers, edge.reads_store, edge.random, RuntimeClock::now());
   if (edge.peers.peers.size() > kMaxPeersToldAtOnce) {
     std::ranges::shuffle(targets, edge.random);
-    targets.resize(std::min(targets.size(), kNewsTargets));
+    targets.resize(std::min(targets.size(), is_urgent ? kUrgentNewsTargets : kNewsTargets));
   }
   for (const std::string& target : targets) {
     SendDatagram(edge, target, bytes);
--- a/src/edge/internal/peer_exchange.h
+++ b/src/edge/internal/peer_exchange.h
@@ -15,8 +15,8 @@
 void SendDigests(EdgeState& edge);
 // Sends a datagram to the digest port of an instance.
 void SendDatagram(EdgeState& edge, const std::string& address, const std::string& bytes);
-// Sends a datagram with news that peers pass on.
-void SendNews(EdgeState& edge, const std::string& bytes);
+// Sends a datagram with news to the peers, or to some of a larger fleet.
+void SendNews(EdgeState& edge, const std::string& bytes, bool is_urgent = false);
 // Copies published state from a peer that has a newer revision, if there is one.
 void PullIfBehind(const Edge& edge);
 // Copies lost changes from a peer that retains others than this instance, for example after
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -184,6 +184,51 @@
   BOOST_TEST(!DecodeBrittleNews(EncodeLimitNews({})).has_value());
 }
 
+std::vector<dispatch::UpstreamNews> SampleUpstreamNews() {
+  return {{7, 0xfedcba98U, 2.5, 40ms, 30ms, true}, {8, 1, std::nullopt, 0ms, 900ms, false}, {9, 2}};
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamNewsIsReadBack) {
+  const std::string bytes = EncodeUpstreamNews(SampleUpstreamNews());
+  const auto read = DecodeUpstreamNews(bytes).value_or(std::vector<dispatch::UpstreamNews>{});
+  BOOST_REQUIRE(read.size() == 3U);
+  BOOST_TEST(read[0].upstream_key == 7U);
+  BOOST_TEST(read[0].process == 0xfedcba98U);
+  BOOST_TEST(read[0].pace.value_or(0) == 2.5);
+  BOOST_TEST((read[0].pace_age == 40ms));
+  BOOST_TEST((read[0].ended_age == 30ms));
+  BOOST_TEST(read[0].is_replaced);
+  BOOST_TEST(!read[1].pace.has_value());
+  BOOST_TEST((read[1].ended_age == 900ms));
+  BOOST_TEST(!read[1].is_replaced);
+  BOOST_TEST(!read[2].ended_age.has_value());
+  // Other builds drop the datagram.
+  BOOST_TEST(!DecodeDigest(bytes).has_value());
+  BOOST_TEST(!DecodeBrittleNews(bytes).has_value());
+  BOOST_TEST(!DecodeUpstreamNews(EncodeBrittleNews({})).has_value());
+}
+
+// Guards against a datagram above one packet.
+BOOST_AUTO_TEST_CASE(UpstreamNewsIsSmall) {
+  const std::vector<dispatch::UpstreamNews> most(32,
+                                                 {0xffffffffU, 0xffffffffU, 99.0, 1s, 1s, true});
+  BOOST_TEST(EncodeUpstreamNews(most).size() <= 32U * 21U + 15U);
+}
+
+// Guards against a message that ends the process, and against values that no sender has.
+BOOST_AUTO_TEST_CASE(MalformedUpstreamNewsIsDropped) {
+  const std::string good = EncodeUpstreamNews(SampleUpstreamNews());
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 20'000; ++round) {
+    const std::string bytes = Damaged(good, random);
+    for (const auto& news :
+         DecodeUpstreamNews(bytes).value_or(std::vector<dispatch::UpstreamNews>{})) {
+      BOOST_TEST_REQUIRE((news.pace_age <= 24h && news.ended_age.value_or(0ms) <= 24h));
+      BOOST_TEST_REQUIRE((news.pace.value_or(1) > 0 && news.pace.value_or(1) <= 100));
+    }
+  }
+}
+
 // Guards against a message that ends the process, and against ages that overflow.
 BOOST_AUTO_TEST_CASE(MalformedBrittleNewsIsDropped) {
   const std::string good = EncodeBrittleNews(
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -209,7 +209,9 @@
     }
     return {code, failed_phase,
             ToString(this->endpoint) + ": " + std::string(ToString(code)) + " while " +
-                std::string(ToString(failed_phase)) + " (" + error.message() + ")"};
+                std::string(ToString(failed_phase)) + " (" + error.message() + ")",
+            code == TransportErrorCode::kConnectFailed &&
+                error == boost::asio::error::connection_refused};
   }
 
   void RememberRequest() {
--- a/src/transport/tests/http_test.cc
+++ b/src/transport/tests/http_test.cc
@@ -383,6 +383,8 @@
     BOOST_REQUIRE(!refused.has_value());
     BOOST_TEST((refused.error().code == TransportErrorCode::kConnectFailed));
     BOOST_TEST((refused.error().phase == ExchangePhase::kConnecting));
+    BOOST_TEST(refused.error().is_refused);
+    BOOST_TEST(!silent.error().is_refused);
   }(*this));
 }
 
--- a/src/transport/transport_types.h
+++ b/src/transport/transport_types.h
@@ -103,6 +103,8 @@
   TransportErrorCode code = TransportErrorCode::kConnectionClosed;
   ExchangePhase phase = ExchangePhase::kNotStarted;
   std::string message;
+  // True if the peer's machine refused the connect: no process listens there.
+  bool is_refused = false;
 };
 
 template <typename T>
