dispatch: estimate of how long work takes at an upstream

Cause: nothing tells an instance that an upstream is slow but still answers. Change: the fourth figure of the load header is decoded and kept as a stated pace that falls to its slow average within half a second. Measured times count by groups of requests that waited together, and only the lower one of the last two groups. The stated pace, or else the measured one, is told in upstreams-1 if it is unusual. The cost above the load bound rises by what the paces change, since a slow upstream below the bound otherwise lost to one above it.

--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -183,6 +183,26 @@
       request.prompt.input_tokens - std::min(shared, request.prompt.input_tokens);
 }
 
+// Raises the cost above the load bound by what the paces change, since a slow upstream below the
+// bound would otherwise lose to one above it.
+void OffsetPaces(const SelectionRequest& request, std::span<Candidate> candidates) {
+  const auto added = [&request](const Candidate& candidate) {
+    const CostTerms& terms = candidate.terms;
+    return (terms.reread + terms.waiting + terms.running) *
+           (1 - 1 / ExpectedPace(candidate.row->pace, request.now));
+  };
+  double most = 0;
+  for (const Candidate& candidate : candidates) {
+    most = std::max(most, added(candidate));
+  }
+  for (Candidate& candidate : candidates) {
+    if (candidate.terms.over_bound > 0) {
+      candidate.terms.over_bound += most - std::min(0.0, added(candidate));
+      candidate.cost_ms = TotalCost(candidate.terms);
+    }
+  }
+}
+
 void SetCosts(const UpstreamTable& table,
               const SelectionSettings& settings,
               const SelectionRequest& request,
@@ -217,6 +237,7 @@
     }
     candidate.cost_ms = TotalCost(terms);
   }
+  OffsetPaces(request, candidates);
 }
 
 }  // namespace
--- a/src/dispatch/internal/upstream_news.cc
+++ b/src/dispatch/internal/upstream_news.cc
@@ -27,6 +27,15 @@
   health.avoid_until = std::max(health.avoid_until, observed_at + kRefusedBackoff);
 }
 
+bool IsDue(const Upstream& upstream, TimePoint now) {
+  return IsSignDue(upstream, now) || HasPaceToTell(upstream.pace, now);
+}
+
+TimePoint NewestOwn(const Upstream& upstream) {
+  return std::max(
+      {upstream.ended.own.observed_at, upstream.pace.own.at, upstream.pace.current.last_at});
+}
+
 // Returns true if the sign is new.
 bool MergeSign(Upstream& upstream, Duration age, bool is_replaced, TimePoint now) {
   const TimePoint observed_at = now - age;
@@ -58,6 +67,10 @@
     news.is_replaced = upstream.ended.own.is_replaced;
     --upstream.ended.sends_left;
   }
+  if (const auto pace = TakePaceToTell(upstream.pace, now); pace) {
+    news.pace = pace->factor;
+    news.pace_age = now - pace->at;
+  }
   return news;
 }
 
@@ -81,12 +94,12 @@
   }
   std::vector<Upstream*> due;
   for (const auto& [id, row] : table.rows) {
-    if (IsSignDue(*row, now)) {
+    if (IsDue(*row, now)) {
       due.push_back(row.get());
     }
   }
   std::ranges::sort(due, std::ranges::greater(),
-                    [](const Upstream* upstream) { return upstream->ended.own.observed_at; });
+                    [](const Upstream* upstream) { return NewestOwn(*upstream); });
   due.resize(std::min(due.size(), kMaxSentNews));
   std::vector<UpstreamNews> news;
   news.reserve(due.size());
@@ -106,6 +119,9 @@
       continue;
     }
     Upstream& upstream = *row->second;
+    if (received.pace && received.pace_age <= kMaxNewsAge) {
+      RecordStatedPace(upstream.pace, *received.pace, now - received.pace_age);
+    }
     const bool was_avoided = now < upstream.health.avoid_until;
     if (received.ended_age && MergeSign(upstream, *received.ended_age, received.is_replaced, now) &&
         !was_avoided && now < upstream.health.avoid_until) {
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -193,6 +193,8 @@
   std::set<std::string, std::less<>> domains_silent;
   // By DigestKey.
   std::unordered_map<std::uint32_t, UpstreamRow> by_key;
+  // Keyed by service; plain services only.
+  std::unordered_map<std::string, MeanTime> service_times;
   // Keyed by DigestKey; maintained by the peer table.
   std::unordered_map<std::uint32_t, RemoteLoad> remote;
 };
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -124,6 +124,8 @@
   std::optional<double> rejections_per_second;
   std::optional<std::uint32_t> running;
   std::optional<std::uint32_t> waiting;
+  // How long work takes at the upstream now, as a factor of its usual time.
+  std::optional<double> pace;
   std::optional<Duration> cold_left;
 };
 
--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -197,6 +197,7 @@
         first_event_at = now;
         RecordAnswerBegin(run);
         RecordStreamBegin(run, *run.active_upstream);
+        RecordAnswerTime(run, *run.active_upstream);
       }
       if (now - *first_event_at > kCrashTime) {
         RecordAnswered(run);
@@ -322,6 +323,7 @@
     co_return attempt;
   }
   dispatch::RecordAttemptSuccess(upstream.health, now);
+  RecordAnswerTime(run, upstream);
   attempt.result = co_await responder.Send(std::move(response)) ? AttemptResult::kDelivered
                                                                 : AttemptResult::kStopped;
   co_return attempt;
@@ -550,6 +552,7 @@
     attempt.reason = "bad_address";
     co_return attempt;
   }
+  run.expected_time = ExpectedAnswerTime(run, chosen);
   dispatch::RunningRequest running(chosen.row, chosen.uncached_tokens);
   run.sent_at = RuntimeClock::now();
   RecordSend(run, chosen);
@@ -587,6 +590,7 @@
   RecordBytes(run, upstream);
   ApplyAvailability(*run.edge, run.request.id, upstream, answer, run.sent_at);
   ApplyLoadReport(run, upstream, answer);
+  ApplyPace(run, upstream, answer);
   const bool is_success = head.value().status >= 200 && head.value().status < 300;
   const bool ends_with_connection = exchange.EndsWithConnection() || relayed.ends_with_connection;
   Attempt attempt;
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -48,6 +48,8 @@
   transport::HttpExchange* active = nullptr;
   dispatch::UpstreamRow active_upstream;
   TimePoint sent_at;
+  // Time in which the upstream usually answers; unset if that is unknown.
+  std::optional<Duration> expected_time;
   // Address of the peer that relays the current attempt; empty for a direct one.
   std::string relay;
   // Upstreams that this instance could not reach itself.
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -68,6 +68,7 @@
           {"removal_held", upstream.removal_at.has_value()},
           {"cold_left_ms", MillisecondsUntil(upstream.cold_until, now)},
           {"avoided_ms", MillisecondsUntil(upstream.health.avoid_until, now)},
+          {"pace", dispatch::ExpectedPace(upstream.pace, now)},
           {"failure_rate", dispatch::FailureRate(upstream.health, now)},
           {"slots", upstream.listing.slots},
           {"running_here", upstream.running},
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -98,6 +98,9 @@
   if (const auto brittle = FindHeader(response.headers, "X-Brittle"); !brittle.empty()) {
     answer.rejections_per_second = std::stod(std::string(brittle));
   }
+  if (const auto pace = FindHeader(response.headers, "X-Pace"); !pace.empty()) {
+    answer.pace = std::stod(std::string(pace));
+  }
   answer.caller_headers = response.headers;
   return answer;
 }
--- a/src/edge/tests/edge_upstream_news_test.cc
+++ b/src/edge/tests/edge_upstream_news_test.cc
@@ -13,15 +13,19 @@
 using test::Reply;
 using test::Sealed;
 
-// Returns how long the first instance goes on avoiding the upstream.
-std::int64_t AvoidedMs(EdgeFixture& fixture, std::string_view id) {
+// Returns what the first instance knows about the upstream.
+boost::json::value StatusOf(EdgeFixture& fixture, std::string_view id) {
   const boost::json::value status = boost::json::parse(fixture.Ask("/status"));
   for (const boost::json::value& row : status.at("upstreams").as_array()) {
     if (row.at("id").as_string() == id) {
-      return row.at("avoided_ms").as_int64();
+      return row;
     }
   }
-  return -1;
+  return {};
+}
+
+std::int64_t AvoidedMs(EdgeFixture& fixture, std::string_view id) {
+  return StatusOf(fixture, id).at("avoided_ms").as_int64();
 }
 
 // Guards against each instance finding an ended process with a request of its own.
@@ -63,5 +67,18 @@
   BOOST_TEST(AvoidedMs(fixture, "u1") > 3000);
 }
 
+// Guards against a pace that only the instance knows to which it was stated.
+BOOST_AUTO_TEST_CASE(AStatedPaceIsToldToThePeers) {
+  EdgeFixture fixture;
+  fixture.AddInstance("127.0.0.2");
+  fixture.RunFor(500ms);
+  fixture.AddUpstream({test::With(Sealed("whole"), "X-Pace: 4")});
+  fixture.current = 1;
+  BOOST_TEST(fixture.Call("/order/1").value().status == 200);
+  BOOST_TEST(StatusOf(fixture, "u1").at("pace").to_number<double>() == 1);
+  fixture.RunFor(250ms);
+  BOOST_TEST(StatusOf(fixture, "u1").at("pace").to_number<double>() > 1.1);
+}
+
 }  // namespace
 }  // namespace geraniumspread::edge
