--- a/src/edge/internal/attempt.cc
+++ b/src/edge/internal/attempt.cc
@@ -13,6 +13,7 @@
 #include "edge/internal/path_watch.h"
 #include "edge/internal/relay.h"
 #include "edge/internal/stream_resumption.h"
+#include "edge/internal/upstream_news_exchange.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -133,6 +134,9 @@
   }
   if (not_sent) {
     dispatch::RecordConnectFailure(upstream.health, now);
+    if (error.is_refused) {
+      dispatch::RecordEndedProcess(upstream, dispatch::EndedProcess::kRefusesConnects, now);
+    }
   } else {
     dispatch::RecordAttemptFailure(upstream.health, now);
   }
@@ -207,6 +211,7 @@
         run.answer_began_at = now;
         RecordAnswerBegin(run);
         RecordStreamBegin(run, *run.active_upstream);
+        RecordAnswerTime(run, *run.active_upstream);
       }
       if (now - *first_event_at > kCrashTime) {
         RecordAnswered(run);
@@ -285,6 +290,9 @@
   const TimePoint now = RuntimeClock::now();
   if (answer.wrong_upstream) {
     dispatch::RecordReplacement(upstream.health, now);
+    if (run.relay.empty() && !IsPathLost(*run.edge)) {
+      dispatch::RecordEndedProcess(upstream, dispatch::EndedProcess::kReplaced, now);
+    }
     attempt.result = AttemptResult::kMisdirected;
     attempt.reason = "address_of_another_upstream";
     co_return attempt;
@@ -329,6 +337,7 @@
     co_return attempt;
   }
   dispatch::RecordAttemptSuccess(upstream.health, now);
+  RecordAnswerTime(run, upstream);
   attempt.result = co_await responder.Send(std::move(response)) ? AttemptResult::kDelivered
                                                                 : AttemptResult::kStopped;
   co_return attempt;
@@ -574,6 +583,7 @@
     attempt.reason = "bad_address";
     co_return attempt;
   }
+  run.expected_time = ExpectedAnswerTime(run, chosen);
   dispatch::RunningRequest running(chosen.row, chosen.uncached_tokens);
   run.sent_at = RuntimeClock::now();
   RecordSend(run, chosen);
@@ -610,6 +620,7 @@
   RecordBytes(run, upstream);
   ApplyAvailability(*run.edge, run.request.id, upstream, answer, run.sent_at);
   ApplyLoadReport(run, upstream, answer);
+  ApplyPace(run, upstream, answer);
   const bool is_success = head.value().status >= 200 && head.value().status < 300;
   const bool ends_with_connection = exchange.EndsWithConnection() || relayed.ends_with_connection;
   Attempt attempt;
--- a/src/edge/internal/edge.cc
+++ b/src/edge/internal/edge.cc
@@ -17,6 +17,7 @@
 #include "edge/internal/request_run.h"
 #include "edge/internal/status_page.h"
 #include "edge/internal/stream_resumption.h"
+#include "edge/internal/upstream_news_exchange.h"
 #include "edge/internal/waiting_room.h"
 
 namespace geraniumspread::edge {
@@ -124,6 +125,7 @@
   TickCrashEvidence(*edge);
   SendLimitNews(*edge);
   SendBrittleNews(edge);
+  SendUpstreamNews(*edge);
   PullIfBehind(edge);
   PullRetained(edge);
   PumpWaitingRooms(*edge);
--- a/src/edge/internal/request_run.h
+++ b/src/edge/internal/request_run.h
@@ -62,6 +62,8 @@
   RuntimeTimer* wait_timer = nullptr;
   // The request was released from a wait and has not been sent since.
   bool is_returning = false;
+  // Time in which the upstream usually answers; unset if that is unknown.
+  std::optional<Duration> expected_time;
   // Address of the peer that relays the current attempt; empty for a direct one.
   std::string relay;
   // Upstreams that this instance could not reach itself.
