dispatch: engines cost what short and long prompts delay each other

Cause: in a burst of long prompts, short ones were late behind them. The cost of an engine contained the prompts that wait there, but neither what a request delays nor whether its own goal is at stake; and a prompt whose home this instance had never sent it to counted there as its own part only, so that a home which prefilled 8,620 tokens looked idle to all instances.

--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -7,6 +7,7 @@
 #include "dispatch/brittle_upstreams.h"
 #include "dispatch/named_limits.h"
 #include "dispatch/overflow_order.h"
+#include "dispatch/prefill_contention.h"
 
 namespace geraniumspread::dispatch {
 namespace {
@@ -175,6 +176,23 @@
   candidate.terms.running = pace * candidate.running * kEngineRunningMs;
 }
 
+ContentionGoals GoalsOf(const SelectionSettings& settings, const SelectionRequest& request) {
+  return settings.weighs_contention ? ContentionGoals{request.latency_goal, request.tightest_goal}
+                                    : ContentionGoals{};
+}
+
+void SetContentionTerms(const SelectionSettings& settings,
+                        const SelectionRequest& request,
+                        Candidate& candidate) {
+  const double own_ms = ExpectedPace(candidate.row->pace, request.now) * candidate.uncached_tokens /
+                        settings.prefill_tokens_per_ms;
+  const ContentionCosts costs = ContentionCostsMs(
+      GoalsOf(settings, request), {candidate.terms.waiting, own_ms, candidate.running});
+  candidate.terms.delays_others = costs.delays_others;
+  candidate.terms.goal_at_stake = costs.goal_at_stake;
+  candidate.terms.long_queue = costs.long_queue;
+}
+
 // Rises from the mean load to the load bound, so that prompts that are cheap to
 // compute again leave a busy engine first and long ones stay at their home.
 double PressureCost(const SelectionSettings& settings,
@@ -186,13 +204,17 @@
                    : part * part * kPressureTokens * kRereadFactor / settings.prefill_tokens_per_ms;
 }
 
-void MarkHome(const SelectionRequest& request, Candidate& candidate) {
+void MarkHome(const SelectionSettings& settings,
+              const SelectionRequest& request,
+              Candidate& candidate) {
   candidate.is_home = true;
-  // Other instances send these shared parts to the home too, so they count as
+  // Other instances send these shared parts to the home too, so most of them count as
   // cached.
   const std::uint32_t shared = SharedTokens(request.prompt);
-  candidate.uncached_tokens =
-      request.prompt.input_tokens - std::min(shared, request.prompt.input_tokens);
+  candidate.uncached_tokens = ExpectedUncachedAtHome(
+      GoalsOf(settings, request),
+      request.prompt.input_tokens - std::min(shared, request.prompt.input_tokens),
+      UncachedSharedTokens(candidate.row->prompt_cache, request.prompt));
 }
 
 // True if the home is above its load bound, or the prompts that wait there take longer
@@ -220,7 +242,7 @@
   bool is_overloaded = false;
   for (Candidate& candidate : candidates) {
     if (candidate.row.get() == home) {
-      MarkHome(request, candidate);
+      MarkHome(settings, request, candidate);
       is_overloaded = IsOverloaded(table, settings, request, bound, candidate);
     }
   }
@@ -249,6 +271,7 @@
     CostTerms& terms = candidate.terms;
     if (request.is_engine) {
       SetEngineTerms(table, settings, request, is_home_overloaded, candidate);
+      SetContentionTerms(settings, request, candidate);
       terms.pressure = PressureCost(settings, candidate, mean, bound);
     } else {
       terms.running = PlainRunningCost(candidate, ExpectedPace(upstream.pace, request.now));
@@ -272,7 +295,8 @@
 
 double TotalCost(const CostTerms& terms) {
   return terms.reread + terms.waiting + terms.running + terms.cross_domain + terms.silent_domain +
-         terms.failures + terms.pressure + terms.over_bound;
+         terms.failures + terms.pressure + terms.over_bound + terms.delays_others +
+         terms.goal_at_stake + terms.long_queue;
 }
 
 std::string_view ToString(SelectionFailure failure) {
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -28,6 +28,8 @@
   double silent_domain_ms = 1000;
   // Number of engines after the home that requests of a subject prefer; 0 for none.
   std::size_t overflow_ranks = 3;
+  // Counts what short and long prompts cost each other.
+  bool weighs_contention = true;
 };
 
 struct SelectionRequest {
@@ -70,6 +72,10 @@
   // Load between the mean and the load bound, and above it.
   double pressure = 0;
   double over_bound = 0;
+  // Contention of short and long prompts for prefill.
+  double delays_others = 0;
+  double goal_at_stake = 0;
+  double long_queue = 0;
 };
 double TotalCost(const CostTerms& terms);
 
