transport: invalid statuses and cut-off bodies are not responses

Cause: the client took any three-digit status and any interim head for the response, and a body delimited by the end of its connection was complete at any end. When a reset meets a pending write and a pending read, the write takes the error and the read sees a plain end.

Change: 1xx heads are skipped, at most eight, except 101; any other status outside 200 to 599 is a malformed message. A body that ends with its connection is complete only if the request was written to its end, without a write error and without a pending socket error. The direct way and the relay both use this client.

--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -24,6 +24,9 @@
 using transport::HttpResponse;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+// An upstream that has ended its direction keeps the connection open for this time.
+constexpr std::chrono::milliseconds kHoldTime{300};
+constexpr int kSmallBuffer = 16 * 1024;
 constexpr std::string_view kHealthCheck = "GET /healthz ";
 constexpr std::string_view kHealthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 constexpr std::uint16_t kFirstPort = 21500;
@@ -284,8 +287,14 @@
   copy = {WithId(reply.late_copy, request), reply.late_by};
   co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
   co_await SendEndless(socket, reply);
+  if (reply.endless.empty()) {
+    co_await Sleep(socket, reply.pause);
+  }
   if (reply.then == Reply::Then::kReset) {
     socket.set_option(tcp::socket::linger(true, 0));
+  } else if (reply.then == Reply::Then::kEndHere) {
+    socket.shutdown(tcp::socket::shutdown_send);
+    co_await Sleep(socket, kHoldTime);
   }
   co_return reply.then == Reply::Then::kKeep;
 }
@@ -341,6 +350,11 @@
   this->pending = std::move(replies);
 }
 
+void RawUpstream::ReplyEarly() {
+  this->replies_early = true;
+  this->acceptor.set_option(tcp::acceptor::receive_buffer_size(kSmallBuffer));
+}
+
 asio::awaitable<void> RawUpstream::Accept() {
   while (true) {
     auto [error, socket] = co_await this->acceptor.async_accept(kAwait);
@@ -375,7 +389,8 @@
     std::size_t count = 0;
     std::tie(error, count) = co_await socket.async_read_some(asio::buffer(chunk), kAwait);
     received.append(chunk.data(), count);
-    const std::size_t length = RequestLength(received);
+    const bool is_early = this->replies_early && received.find("\r\n\r\n") != std::string::npos;
+    const std::size_t length = is_early ? received.size() : RequestLength(received);
     if (error || length == 0) {
       continue;
     }
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -16,13 +16,15 @@
 
 // How a stand-in upstream handles one request.
 struct Reply {
-  enum class Then : std::uint8_t { kKeep, kClose, kReset };
+  // kEndHere ends only the upstream's direction, reads nothing more and closes a while later.
+  enum class Then : std::uint8_t { kKeep, kClose, kReset, kEndHere };
   // "{id}" is replaced by the id of the request.
   std::string bytes;
   Then then = Then::kKeep;
   // Sends nothing and waits until the client closes the connection.
   bool is_silent = false;
-  // Sent repeatedly after `bytes`, every `pause`, until the client closes the connection.
+  // Sent repeatedly after `bytes`, every `pause`, until the client closes the connection. Without
+  // it, the pause comes before the end of the connection.
   std::string endless;
   std::chrono::milliseconds pause{0};
   // Sent once more when the next request has come on the connection: in one write with the
@@ -56,8 +58,13 @@
   // and later connects are refused.
   std::string crashes_on;
   bool has_crashed = false;
+  // From now on, replies come as soon as the head of a request is read. The rest of a large body
+  // stays unread and fills the buffers of the connection.
+  void ReplyEarly();
 
  private:
+  bool replies_early = false;
+
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
   void Crash();
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -73,9 +73,11 @@
   // answer to an earlier request may come first on a kept connection.
   void SkipUnmatchedAnswers(std::function<bool(const HttpResponse&)> matches);
   // Sends the request and reads the head of the answer (its body is empty). The
-  // answer may come before the request is sent to its end.
+  // answer may come before the request is sent to its end. Interim heads (1xx) are skipped; another
+  // status outside 200 to 599 is an error.
   boost::asio::awaitable<Result<HttpResponse>> Start(HttpRequest request, ConnectionPolicy policy);
-  // The next piece of the body; empty at its end.
+  // The next piece of the body; empty at its end. A body that ends with its connection is an error
+  // if the request was not written to its end, or if the connection was reset.
   boost::asio::awaitable<Result<std::string>> ReadSome();
   // The rest of the body, at most `max_bytes`.
   boost::asio::awaitable<Result<std::string>> ReadAll(std::size_t max_bytes);
--- a/src/transport/internal/http_client.cc
+++ b/src/transport/internal/http_client.cc
@@ -1,7 +1,10 @@
 #include "transport/http_client.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -37,6 +40,11 @@
 // Maximum number of unmatched answers skipped on one connection.
 constexpr std::uint32_t kMaxUnmatchedAnswers = 3;
 constexpr std::size_t kMaxUnmatchedBytes = std::size_t{4} << 20U;
+// Servers send one or two interim heads before a response.
+constexpr int kMaxInterimHeads = 8;
+constexpr unsigned kMinStatus = 200;
+constexpr unsigned kMaxStatus = 599;
+constexpr unsigned kSwitchingProtocols = 101;
 // A connection that carried more requests without success is closed rather than kept.
 constexpr std::size_t kMaxRememberedRequests = 16;
 
@@ -314,7 +322,7 @@
                     });
 }
 
-asio::awaitable<error_code> ReadHead(std::shared_ptr<Connection> connection) {
+asio::awaitable<error_code> ReadOneHead(std::shared_ptr<Connection> connection) {
   connection->parser = std::make_unique<http::response_parser<http::buffer_body>>();
   connection->parser->header_limit(kMaxResponseHeaderBytes);
   connection->parser->body_limit(boost::none);
@@ -330,6 +338,50 @@
   return head.reason().find("HTTP/1.") != boost::beast::string_view::npos;
 }
 
+// True for a head that comes before that of the response. No request asks for another protocol.
+bool IsInterim(unsigned status) {
+  constexpr unsigned kFirst = 100;
+  return status >= kFirst && status < kMinStatus && status != kSwitchingProtocols;
+}
+
+// Reads the head of the next response. A status outside its range is an error.
+asio::awaitable<error_code> ReadHead(std::shared_ptr<Connection> connection) {
+  for (int interim = 0; interim <= kMaxInterimHeads; ++interim) {
+    if (const auto error = co_await ReadOneHead(connection); error) {
+      co_return error;
+    }
+    const auto& head = connection->parser->get();
+    if (HasJoinedStatusLine(head)) {
+      co_return http::error::bad_reason;
+    }
+    if (!IsInterim(head.result_int())) {
+      const bool is_valid = head.result_int() >= kMinStatus && head.result_int() <= kMaxStatus;
+      co_return is_valid ? error_code() : http::error::bad_status;
+    }
+  }
+  co_return http::error::bad_status;
+}
+
+// Returns why a body that ended with its connection may be incomplete. The write may have taken the
+// error of a reset, so that the read saw a plain end.
+asio::awaitable<error_code> CheckEndOfConnection(std::shared_ptr<Connection> connection) {
+  if (!connection->request_written && !connection->write_error) {
+    // The handler of a write that has finished may be queued behind that of the read.
+    co_await asio::post(connection->socket.get_executor(), asio::use_awaitable);
+  }
+  if (connection->write_error) {
+    co_return connection->write_error;
+  }
+  if (!connection->request_written || !connection->socket.is_open()) {
+    co_return http::error::partial_message;
+  }
+  // A reset after the end of the other direction doesn't fail the read.
+  int pending = 0;
+  socklen_t size = sizeof(pending);
+  ::getsockopt(connection->socket.native_handle(), SOL_SOCKET, SO_ERROR, &pending, &size);
+  co_return error_code(pending, boost::system::system_category());
+}
+
 // Reads and drops the body of an unmatched answer. A body without a length
 // fails, since it can't be separated from the next answer.
 asio::awaitable<error_code> SkipBody(std::shared_ptr<Connection> connection) {
@@ -442,10 +494,10 @@
   detail::StartWrite(current, detail::BuildMessage(current->endpoint, std::move(request)));
   while (current->skipped_answers <= detail::kMaxUnmatchedAnswers) {
     if (const auto read_error = co_await detail::ReadHead(current); read_error) {
-      co_return current->Failure(current->write_error ? current->write_error : read_error);
-    }
-    if (detail::HasJoinedStatusLine(current->parser->get())) {
-      co_return current->Failure(http::error::bad_reason);
+      const bool is_malformed =
+          read_error == http::error::bad_status || read_error == http::error::bad_reason;
+      co_return current->Failure(current->write_error && !is_malformed ? current->write_error
+                                                                       : read_error);
     }
     HttpResponse response;
     response.status = static_cast<int>(current->parser->get().result_int());
@@ -487,6 +539,12 @@
     current->deadline.Disarm();
     chunk.resize(detail::kReadChunkBytes - current->parser->get().body().size);
     if (current->parser->is_done()) {
+      if (current->parser->need_eof()) {
+        error = co_await detail::CheckEndOfConnection(current);
+      }
+      if (error) {
+        co_return current->Failure(error);
+      }
       current->Release();
     }
   }
--- a/src/transport/tests/http_test.cc
+++ b/src/transport/tests/http_test.cc
@@ -406,6 +406,115 @@
   }(*this));
 }
 
+// How an upstream ends a connection after its bytes.
+enum class Ending : std::uint8_t { kClose, kReset, kEndHere, kEndThenReset };
+
+// Reads a part or all of one request, answers with fixed bytes and ends the connection. With
+// kEndHere it ends only its own direction and reads nothing more for a while.
+asio::awaitable<void> ServeEnding(asio::ip::tcp::acceptor& acceptor,
+                                  std::string bytes,
+                                  bool reads_request,
+                                  Ending ending) {
+  auto [error, socket] = co_await acceptor.async_accept(detail::kAwaitTuple);
+  std::string request(std::size_t{64} * 1024, ' ');
+  std::size_t received = 0;
+  do {
+    const auto [failure, count] =
+        co_await socket.async_read_some(asio::buffer(request), detail::kAwaitTuple);
+    received += count;
+    if (failure) {
+      co_return;
+    }
+  } while (reads_request && !std::string_view(request).substr(0, received).ends_with("END"));
+  co_await asio::async_write(socket, asio::buffer(bytes), detail::kAwaitTuple);
+  detail::Timer hold(acceptor.get_executor());
+  if (ending == Ending::kEndHere || ending == Ending::kEndThenReset) {
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+  }
+  if (ending == Ending::kEndHere || ending == Ending::kReset) {
+    // The client then waits both to write and to read.
+    hold.expires_after(std::chrono::milliseconds(ending == Ending::kReset ? 10 : 200));
+    co_await hold.async_wait(detail::kAwaitTuple);
+  }
+  if (ending == Ending::kReset || ending == Ending::kEndThenReset) {
+    socket.set_option(asio::ip::tcp::socket::linger(true, 0));
+  }
+  // The destructor would clear the linger option.
+  socket.close();
+}
+
+asio::awaitable<Result<HttpResponse>> PostTo(Fixture& fixture,
+                                             std::string bytes,
+                                             std::string body,
+                                             bool reads_request,
+                                             Ending ending) {
+  asio::ip::tcp::acceptor acceptor(fixture.io, {asio::ip::make_address("127.0.0.1"), 0});
+  // A large upload must not fit into the buffers of the connection.
+  acceptor.set_option(asio::ip::tcp::acceptor::receive_buffer_size(16 * 1024));
+  Endpoint upstream("127.0.0.1", acceptor.local_endpoint().port());
+  asio::co_spawn(fixture.io, ServeEnding(acceptor, std::move(bytes), reads_request, ending),
+                 asio::detached);
+  HttpRequest request("POST", "/", {}, std::move(body));
+  co_return co_await Fetch(fixture.pool, std::move(upstream), std::move(request), {}, kMaxBody);
+}
+
+// Guards against a status that no response to a request has: it was passed on to callers.
+BOOST_FIXTURE_TEST_CASE(AStatusOutsideItsRangeIsMalformed, Fixture) {
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    for (const std::string status : {"000", "099", "101", "199", "600", "999"}) {
+      std::string bytes = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n";
+      const auto response = co_await PostTo(fixture, bytes, "END", true, Ending::kClose);
+      BOOST_TEST(response.has_error(), status);
+    }
+    for (const int status : {200, 304, 404, 599}) {
+      std::string bytes =
+          "HTTP/1.1 " + std::to_string(status) + " Fine\r\nContent-Length: 0\r\n\r\n";
+      const auto response = co_await PostTo(fixture, bytes, "END", true, Ending::kClose);
+      BOOST_TEST_REQUIRE(response.has_value());
+      BOOST_TEST(response.value().status == status);
+    }
+  }(*this));
+}
+
+// Guards against an interim head that is taken for the response: the response after it would be
+// read as the answer to the next request.
+BOOST_FIXTURE_TEST_CASE(InterimHeadsAreSkipped, Fixture) {
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    const std::string interim =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n";
+    const std::string real = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    const auto response = co_await PostTo(fixture, interim + real, "END", true, Ending::kClose);
+    BOOST_TEST_REQUIRE(response.has_value());
+    BOOST_TEST(response.value().status == 200);
+    BOOST_TEST(response.value().body == "whole");
+    BOOST_TEST(FindHeader(response.value().headers, "Link").empty());
+    const auto only = co_await PostTo(fixture, interim, "END", true, Ending::kClose);
+    BOOST_TEST(only.has_error());
+  }(*this));
+}
+
+// Guards against a part of a body without a length that passes for the whole. The write may take
+// the error of a reset, and the read then sees a plain end.
+BOOST_FIXTURE_TEST_CASE(AnUnfinishedUploadOrAResetLeavesTheBodyIncomplete, Fixture) {
+  this->Run([](Fixture& fixture) -> asio::awaitable<void> {
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\npart";
+    const std::string large(std::size_t{16} << 20U, 'x');
+    const auto whole = co_await PostTo(fixture, part, "END", true, Ending::kClose);
+    BOOST_TEST_REQUIRE(whole.has_value());
+    BOOST_TEST(whole.value().body == "part");
+    const auto early_end = co_await PostTo(fixture, part, large, false, Ending::kEndHere);
+    BOOST_TEST(early_end.has_error());
+    const auto late_reset = co_await PostTo(fixture, part, "END", true, Ending::kEndThenReset);
+    BOOST_TEST(late_reset.has_error());
+    int taken_for_whole = 0;
+    for (int call = 0; call < 50; ++call) {
+      const auto cut = co_await PostTo(fixture, part, large, false, Ending::kReset);
+      taken_for_whole += cut ? 1 : 0;
+    }
+    BOOST_TEST(taken_for_whole == 0, taken_for_whole << " of 50");
+  }(*this));
+}
+
 // Guards against a second process that silently shares a port.
 BOOST_FIXTURE_TEST_CASE(ListenOnTakenPortFails, Fixture) {
   this->Serve(Echo);
