edge: the number of waiting requests is right after a disconnect; own places count for shares

An instance may hold more than its share, e.g. while others that have ended still count, and its workspaces may share all that it holds.

--- a/src/admission/internal/waiting_room.cc
+++ b/src/admission/internal/waiting_room.cc
@@ -47,8 +47,10 @@
   room.credited_at = now;
 }
 
-void UpdateSlots(WaitingRoom& room, const PlaceSupply& supply) {
-  SetSlots(room.queue, std::max(static_cast<double>(supply.own), ShareOf(supply.total, supply)));
+// Places that this instance can count on. It may hold more than its share for some time, e.g. when
+// others have ended and still count as instances.
+double CountedPlaces(const PlaceSupply& supply) {
+  return std::max(static_cast<double>(supply.own), ShareOf(supply.total, supply));
 }
 
 void ExpireFreedPlaces(WaitingRoom& room, TimePoint now) {
@@ -150,8 +152,8 @@
   if (times == room.routes.end()) {
     return std::nullopt;
   }
-  const auto wait = AdmitToShare(room.shares, request.workspace, times->second.hold,
-                                 ShareOf(supply.total, supply), now);
+  const auto wait =
+      AdmitToShare(room.shares, request.workspace, times->second.hold, CountedPlaces(supply), now);
   if (!wait || !IsBusy(supply)) {
     return std::nullopt;
   }
@@ -189,7 +191,7 @@
                   const WaitRequest& request,
                   const PlaceSupply& supply,
                   TimePoint now) {
-  UpdateSlots(room, supply);
+  SetSlots(room.queue, CountedPlaces(supply));
   QueuedRequest queued;
   queued.request = request.request;
   // The routes of a workspace take turns too, so that large and small requests both keep a floor.
@@ -217,7 +219,7 @@
 }
 
 ReleaseDecision Release(WaitingRoom& room, const PlaceSupply& supply, TimePoint now) {
-  UpdateSlots(room, supply);
+  SetSlots(room.queue, CountedPlaces(supply));
   UpdateCredit(room, supply, now);
   ReleaseDecision decision;
   decision.shed = ExpireQueued(room.queue, now);
--- a/src/edge/internal/waiting_room.cc
+++ b/src/edge/internal/waiting_room.cc
@@ -92,8 +92,11 @@
 // Lists a waiting request at its room for the lifetime of this object.
 class Listing {
  public:
-  Listing(ServiceRoom& service_room, admission::RequestHandle request, WaitingRequest& waiting)
-      : room(service_room), handle(request) {
+  Listing(const RequestRun& request_run,
+          ServiceRoom& service_room,
+          admission::RequestHandle request,
+          WaitingRequest& waiting)
+      : run(request_run), room(service_room), handle(request) {
     this->room.waiting[this->handle] = &waiting;
   }
   Listing(const Listing&) = delete;
@@ -101,9 +104,11 @@
   ~Listing() {
     this->room.waiting.erase(this->handle);
     admission::CancelQueued(this->room.room.queue, this->handle);
+    SetLength(*this->run.edge, this->run.service.name, this->room);
   }
 
  private:
+  const RequestRun& run;
   ServiceRoom& room;
   admission::RequestHandle handle;
 };
@@ -170,7 +175,8 @@
     co_return ToEdgeRefusal(*edge, *joined.refusal);
   }
   WaitingRequest waiting(edge->io);
-  const Listing listing(room, handle, waiting);
+  const Listing listing(run, room, handle, waiting);
+  SetLength(*edge, run.service.name, room);
   LogWait(run, "request_queued", "expected_wait_ms", joined.expected_wait, room);
   waiting.timer.expires_at(std::min(joined.latest_start, run.ends_at));
   if (!run.is_returning) {
--- a/src/edge/tests/edge_waiting_test.cc
+++ b/src/edge/tests/edge_waiting_test.cc
@@ -103,7 +103,7 @@
 // Failure: the caller disconnects. Guards against a place that is kept for it and a request that is
 // sent for nobody.
 BOOST_AUTO_TEST_CASE(ADisconnectEndsTheWait) {
-  FullService other(300ms);
+  FullService other(500ms);
   boost::asio::ip::tcp::socket caller(other.fixture.io);
   caller.connect(
       {boost::asio::ip::make_address("127.0.0.1"), other.fixture.settings.caller_endpoint.port});
@@ -111,7 +111,11 @@
                                  "POST /stream/slow/3 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: gone\r\n"
                                  "X-Key: key\r\nContent-Length: 0\r\n\r\n")));
   other.fixture.RunFor(20ms);
+  BOOST_TEST(!other.IsWaiting());
   caller.close();
+  other.fixture.RunFor(20ms);
+  // Only the other request still waits.
+  BOOST_TEST(other.IsWaiting());
   BOOST_TEST(other.Answer().status == 200);
   other.fixture.RunFor(300ms);
   BOOST_TEST(other.upstream->requests.size() == kPlaces + 1);
