--- a/src/dispatch/tests/selection_test.cc
+++ b/src/dispatch/tests/selection_test.cc
@@ -297,5 +297,35 @@
   }
 }
 
+// Load pattern: a slow plain service. Guards against more requests at an upstream than it can serve
+// in time, against places of upstreams that take no new work, and against a freed place that its
+// instance can't take over because it still believes the upstream full.
+BOOST_AUTO_TEST_CASE(PlainUpstreamsHoldWhatTheyServeInTime) {
+  UpstreamTable table = MakeTable(1, 6);
+  SelectionRequest request = EngineRequest({});
+  request.is_engine = false;
+  BOOST_TEST(CountPlaces(table, request).free == 72U);
+  request.places_per_slot = 1.5;
+  std::vector<std::unique_ptr<RunningRequest>> running;
+  for (int attempt = 0; attempt < 27; ++attempt) {
+    const Selection selection = SelectUpstream(table, SelectionSettings{}, request);
+    BOOST_TEST_REQUIRE(!selection.candidates.empty());
+    running.push_back(std::make_unique<RunningRequest>(selection.candidates.front().row, 0));
+  }
+  const ServicePlaces full = CountPlaces(table, request);
+  BOOST_TEST(full.total == 27U);
+  BOOST_TEST(full.free == 0U);
+  BOOST_TEST(full.own == 27U);
+  const Selection none = SelectUpstream(table, SelectionSettings{}, request);
+  BOOST_TEST((none.failure == SelectionFailure::kAllFull));
+  request.inherited_place = table.rows.at("b0")->id_hash;
+  const Selection inherited = SelectUpstream(table, SelectionSettings{}, request);
+  BOOST_TEST_REQUIRE(inherited.candidates.size() == 1U);
+  BOOST_TEST(inherited.candidates.front().row->listing.id == "b0");
+  RecordPause(*table.rows.at("a0"), 1s, kStart);
+  table.rows.at("c0")->cold_until = kStart + 1s;
+  BOOST_TEST(CountPlaces(table, request).total == 9U);
+}
+
 }  // namespace
 }  // namespace geraniumspread::dispatch
