edge: log and count overflow rank and contention of the chosen engine

Operators couldn't see whether requests that leave their home follow the common order, nor what contention for prefill adds to the cost of the chosen engine.

--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -295,8 +295,11 @@
 
 double TotalCost(const CostTerms& terms) {
   return terms.reread + terms.waiting + terms.running + terms.cross_domain + terms.silent_domain +
-         terms.failures + terms.pressure + terms.over_bound + terms.delays_others +
-         terms.goal_at_stake + terms.long_queue;
+         terms.failures + terms.pressure + terms.over_bound + ContentionMs(terms);
+}
+
+double ContentionMs(const CostTerms& terms) {
+  return terms.delays_others + terms.goal_at_stake + terms.long_queue;
 }
 
 std::string_view ToString(SelectionFailure failure) {
--- a/src/dispatch/selection.h
+++ b/src/dispatch/selection.h
@@ -78,6 +78,8 @@
   double long_queue = 0;
 };
 double TotalCost(const CostTerms& terms);
+// Returns the part of the cost that contention for prefill causes.
+double ContentionMs(const CostTerms& terms);
 
 struct Candidate {
   UpstreamRow row;
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -143,6 +143,20 @@
   return StableHash(run.request.id) % run.edge->settings.log_one_in == 0;
 }
 
+// Counts an attempt at an engine by the place of the engine in the order of the prompt.
+void CountEngineChoice(const RequestRun& run, const dispatch::Candidate& chosen) {
+  if (!run.service.is_engine) {
+    return;
+  }
+  const std::string rank = chosen.is_home             ? "home"
+                           : chosen.overflow_rank > 0 ? std::to_string(chosen.overflow_rank)
+                                                      : "other";
+  const std::chrono::duration<double, std::milli> contention(dispatch::ContentionMs(chosen.terms));
+  run.edge->metrics.Count("geranium_engine_choices_total", {{"rank", rank}});
+  run.edge->metrics.ObserveTime("geranium_contention_seconds",
+                                std::chrono::duration_cast<Duration>(contention));
+}
+
 void LogAttempt(const RequestRun& run,
                 const dispatch::Selection& selection,
                 const Attempt& attempt) {
@@ -150,6 +164,7 @@
   if (is_success && run.sends == 1 && !IsSampled(run)) {
     return;
   }
+  const double contention_ms = dispatch::ContentionMs(selection.candidates.front().terms);
   LogEvent(attempt.result == AttemptResult::kDelivered ? LogLevel::kInfo : LogLevel::kWarn,
            "attempt",
            {{"request_id", run.request.id},
@@ -170,6 +185,8 @@
             {"version", selection.candidates.front().row->listing.version},
             {"fetch_from", selection.candidates.front().fetch_from},
             {"home", selection.candidates.front().is_home},
+            {"overflow_rank", selection.candidates.front().overflow_rank},
+            {"contention_ms", std::lround(contention_ms)},
             {"shared_parts", DescribeSharedParts(run.request.prompt)},
             {"candidates", Describe(selection)},
             {"config", ConfigVersion(*run.edge)},
@@ -248,6 +265,7 @@
       reason = reason.empty() ? std::string(dispatch::ToString(selection.failure)) : reason;
       break;
     }
+    CountEngineChoice(run, selection.candidates.front());
     Attempt attempt = co_await RunAttempt(run, selection.candidates.front(), responder);
     LogAttempt(run, selection, attempt);
     run.edge->metrics.Count("geranium_attempts_total", {{"result", ToString(attempt.result)}});
