dispatch tests: clean under clang-tidy

clang-tidy named unchecked optionals, a widening multiplication and a vector without reserve in the tests of the overflow order and of contention. No check changes; the tests pass (overflow_order, prefill_contention, fleet_load, selection, domain_silence, upstream_table, freshness).

--- a/src/dispatch/tests/overflow_order_test.cc
+++ b/src/dispatch/tests/overflow_order_test.cc
@@ -24,13 +24,17 @@
   return order;
 }
 
+void SetLoad(Upstream& engine, std::uint32_t running) {
+  engine.report = LoadReport{running, 0, kStart, 0};
+}
+
 // All engines run `usual` requests, the home is above its load bound.
 UpstreamTable OverloadedHome(std::uint32_t usual) {
   UpstreamTable table = MakeTable(4);
   for (const auto& [id, row] : table.rows) {
-    row->report = LoadReport{usual, 0, kStart, 0};
+    SetLoad(*row, usual);
   }
-  Order(table).front()->report->running = 5 * usual + 30;
+  SetLoad(*Order(table).front(), 5 * usual + 30);
   return table;
 }
 
@@ -46,7 +50,7 @@
     for (const std::uint32_t load : {3, 5, 8}) {
       UpstreamTable table = OverloadedHome(load);
       const std::vector<UpstreamRow> order = Order(table);
-      order.at(5)->report->running = 0;
+      SetLoad(*order.at(5), 0);
       RecordPrompt(order.at(7)->prompt_cache, ChatPrompt(2, 2), 100'000);
       const Candidate chosen = Chosen(table, domain);
       BOOST_TEST(chosen.row->listing.id == order.at(1)->listing.id);
@@ -65,7 +69,7 @@
     const Candidate chosen = Chosen(table, "a");
     BOOST_TEST(chosen.row->listing.id == order.at(2)->listing.id);
   };
-  third_is_chosen([](auto&, Upstream& second) { second.report->running = 60; });
+  third_is_chosen([](auto&, Upstream& second) { SetLoad(second, 60); });
   third_is_chosen([](auto&, Upstream& second) { RecordConnectFailure(second.health, kStart); });
   third_is_chosen([](auto&, Upstream& second) { second.announced.leaving = true; });
   third_is_chosen([](auto&, Upstream& second) { second.announced.pause_until = TimePoint::max(); });
--- a/src/dispatch/tests/prefill_contention_test.cc
+++ b/src/dispatch/tests/prefill_contention_test.cc
@@ -63,7 +63,7 @@
 // Guards against short prompts behind long ones that make them late, and against short prompts
 // that leave although their own goal allows the wait.
 BOOST_AUTO_TEST_CASE(AShortPromptAvoidsALongOneIfItsGoalIsAtStake) {
-  const UpstreamTable table = BusyEngine(1, 2 * 9200);
+  const UpstreamTable table = BusyEngine(1, 18'400);
   BOOST_TEST(DomainOfChosen(table, Request(700, 600ms, 600)) != "a");
   BOOST_TEST(DomainOfChosen(table, Request(700, 600ms, 600), false) == "a");
   BOOST_TEST(DomainOfChosen(table, Request(700, 5s, 600)) == "a");
@@ -71,7 +71,7 @@
 
 // Guards against other choices in deployments whose routes have no goals.
 BOOST_AUTO_TEST_CASE(WithoutGoalsNothingChanges) {
-  const UpstreamTable table = BusyEngine(5, 2 * 9200);
+  const UpstreamTable table = BusyEngine(5, 18'400);
   SelectionRequest request = EngineRequest(test::ChatPrompt(1, 1));
   SelectionSettings off;
   off.weighs_contention = false;
--- a/src/dispatch/tests/simulated_load.h
+++ b/src/dispatch/tests/simulated_load.h
@@ -182,6 +182,7 @@
 
   void SetRates(double burst) {
     std::vector<double> rates;
+    rates.reserve(this->pattern.kinds.size());
     for (const RequestKind& kind : this->pattern.kinds) {
       rates.push_back(kind.per_second * (rates.empty() ? burst : 1));
     }
