dispatch: measured times of peers add up

Cause: with many instances none has two requests at one engine within seconds, so an engine that turns slow was not found by own times. Change: an instance tells its last ratio of measured to expected time if it is above 1.5, marked by the flag 2 of the row in upstreams-1, and peers take it as a group of their own estimate. One that heard of a slow engine tells its next usual ratio too.

--- a/src/dispatch/internal/upstream_news.cc
+++ b/src/dispatch/internal/upstream_news.cc
@@ -33,7 +33,7 @@
 
 TimePoint NewestOwn(const Upstream& upstream) {
   return std::max(
-      {upstream.ended.own.observed_at, upstream.pace.own.at, upstream.pace.current.last_at});
+      {upstream.ended.own.observed_at, upstream.pace.own.at, upstream.pace.own_measured.at});
 }
 
 // Returns true if the sign is new.
@@ -70,6 +70,7 @@
   if (const auto pace = TakePaceToTell(upstream.pace, now); pace) {
     news.pace = pace->factor;
     news.pace_age = now - pace->at;
+    news.is_measured = pace->is_measured;
   }
   return news;
 }
@@ -120,7 +121,9 @@
     }
     Upstream& upstream = *row->second;
     if (received.pace && received.pace_age <= kMaxNewsAge) {
-      RecordStatedPace(upstream.pace, *received.pace, now - received.pace_age);
+      const TimePoint at = now - received.pace_age;
+      received.is_measured ? RecordPeerRatio(upstream.pace, *received.pace, at)
+                           : RecordStatedPace(upstream.pace, *received.pace, at);
     }
     const bool was_avoided = now < upstream.health.avoid_until;
     if (received.ended_age && MergeSign(upstream, *received.ended_age, received.is_replaced, now) &&
--- a/src/dispatch/internal/upstream_pace.cc
+++ b/src/dispatch/internal/upstream_pace.cc
@@ -21,6 +21,8 @@
 // Added to both times, so that the jitter of short requests says nothing.
 constexpr Duration kMeasuredSlack = std::chrono::milliseconds(40);
 constexpr Duration kMeasuredLifetime = std::chrono::seconds(4);
+// Requests of several instances that wait behind one long prompt are answered within this time.
+constexpr Duration kPeerGroupSpan = std::chrono::milliseconds(500);
 // Lower ratios may come from an inexact expected time.
 constexpr double kMinMeasuredRatio = 1.5;
 // Paces this near to 1 are usual.
@@ -68,7 +70,8 @@
   if (pace.own.at + kMaxToldAge >= now) {
     return pace.own;
   }
-  return {MeasuredRatio(pace, now), pace.current.last_at};
+  const double ratio = pace.own_measured.factor;
+  return {ratio > kMinMeasuredRatio ? ratio : 1, pace.own_measured.at, true};
 }
 
 bool IsUsual(double factor) {
@@ -99,6 +102,8 @@
   const double ratio = std::clamp(Seconds(measured + kMeasuredSlack) /
                                       Seconds(std::max(expected, Duration{0}) + kMeasuredSlack),
                                   0.0, kMaxFactor);
+  const bool is_same_own = now - measured < pace.own_measured.at;
+  pace.own_measured = {is_same_own ? std::min(pace.own_measured.factor, ratio) : ratio, now, true};
   if (now - measured < pace.current.first_at) {
     pace.current.ratio = std::min(pace.current.ratio, ratio);
     pace.current.last_at = std::max(pace.current.last_at, now);
@@ -108,6 +113,23 @@
   pace.current = {ratio, now, now};
 }
 
+void RecordPeerRatio(UpstreamPace& pace, double ratio, TimePoint at) {
+  if (!std::isfinite(ratio) || ratio <= 0 || ratio > kMaxStated ||
+      at < pace.current.first_at - kPeerGroupSpan) {
+    return;
+  }
+  if (ratio > kMinMeasuredRatio) {
+    // The next usual time that this instance measures is told as evidence to the contrary.
+    pace.told.factor = ratio;
+  }
+  if (at < pace.current.first_at + kPeerGroupSpan) {
+    pace.current.ratio = std::min(pace.current.ratio, ratio);
+    return;
+  }
+  pace.previous = pace.current;
+  pace.current = {std::min(ratio, kMaxFactor), at, at};
+}
+
 double ExpectedPace(const UpstreamPace& pace, TimePoint now) {
   const double measured = MeasuredAt(pace, now);
   const double stated = StatedAt(pace, now);
--- a/src/dispatch/tests/upstream_pace_test.cc
+++ b/src/dispatch/tests/upstream_pace_test.cc
@@ -178,6 +178,37 @@
   BOOST_TEST(ExpectedPace(peer.rows.at("a0")->pace, kStart + 3s) == 1);
 }
 
+// In a large fleet no instance has two requests at an engine within seconds. Guards against an
+// engine that turns slow and is not found, and against one that is avoided because of one long
+// prompt that delays requests of several instances.
+BOOST_AUTO_TEST_CASE(MeasuredTimesOfPeersAddUp) {
+  constexpr Duration kExpected = 250ms;
+  std::vector<UpstreamTable> fleet(3, UpstreamTable{});
+  for (UpstreamTable& instance : fleet) {
+    instance = test::MakeTable(1);
+  }
+  const auto measure = [&](std::size_t instance, Duration measured, TimePoint now) {
+    RecordMeasuredTime(fleet[instance].rows.at("a0")->pace, kExpected, measured, now);
+    const auto news = TakeUpstreamNews(fleet[instance], PathState::kReached, now);
+    for (std::size_t other = 0; other < fleet.size() && !news.empty(); ++other) {
+      if (other != instance) {
+        MergeUpstreamNews(fleet[other], news, now);
+      }
+    }
+  };
+  const auto believed = [&](TimePoint now) {
+    return ExpectedPace(fleet[2].rows.at("a0")->pace, now);
+  };
+  measure(0, 1800ms, kStart + 2s);
+  measure(1, 1700ms, kStart + 2010ms);
+  BOOST_TEST(believed(kStart + 2010ms) == 1);
+  measure(1, 1800ms, kStart + 4s);
+  BOOST_TEST(believed(kStart + 4s) > 4);
+  // An instance that heard of it tells that it finds the engine usual.
+  measure(0, 200ms, kStart + 5s);
+  BOOST_TEST(believed(kStart + 5s) == 1);
+}
+
 // At plain services: guards against a slow one of few upstreams that raises the mean of all.
 BOOST_AUTO_TEST_CASE(TheMeanOfAServiceIsThatOfItsUsualRequests) {
   MeanTime mean;
--- a/src/dispatch/upstream_news.h
+++ b/src/dispatch/upstream_news.h
@@ -27,6 +27,8 @@
   // Time since a connect was refused or another process answered.
   std::optional<Duration> ended_age;
   bool is_replaced = false;
+  // The pace is a ratio of measured to expected time. Otherwise the upstream stated it.
+  bool is_measured = false;
 };
 
 // Start of the process in milliseconds modulo 2^32; distinguishes processes of one upstream.
--- a/src/dispatch/upstream_pace.h
+++ b/src/dispatch/upstream_pace.h
@@ -22,6 +22,8 @@
 struct PaceObservation {
   double factor = 1;
   TimePoint at;
+  // A ratio of measured to expected time. Otherwise the upstream stated it.
+  bool is_measured = false;
 };
 
 struct UpstreamPace {
@@ -31,8 +33,10 @@
   double average = 1;
   MeasuredGroup current;
   MeasuredGroup previous;
-  // Newest pace that the upstream stated to this instance, and what peers were last told.
+  // Newest pace that the upstream stated to this instance, the newest one that it measured, and
+  // what peers were last told.
   PaceObservation own;
+  PaceObservation own_measured;
   PaceObservation told;
   // The slow-moving estimate is above the threshold for logs.
   bool is_slow = false;
@@ -51,6 +55,8 @@
 void RecordOwnStatedPace(UpstreamPace& pace, double factor, TimePoint at);
 // Records how long the upstream took for a request of this instance that was answered now.
 void RecordMeasuredTime(UpstreamPace& pace, Duration expected, Duration measured, TimePoint now);
+// Records a ratio of measured to expected time that a peer observed at `at`.
+void RecordPeerRatio(UpstreamPace& pace, double ratio, TimePoint at);
 
 // Returns the factor that applies to work that starts now: 1 as usual, 2 for twice as long.
 double ExpectedPace(const UpstreamPace& pace, TimePoint now);
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -198,6 +198,8 @@
 
 constexpr double kPercent = 100;
 constexpr std::uint32_t kMaxPacePercent = 10'000;
+constexpr std::uint32_t kReplaced = 1;
+constexpr std::uint32_t kMeasured = 2;
 
 dispatch::UpstreamNews DecodeUpstreamRow(const Cbor& row) {
   dispatch::UpstreamNews news;
@@ -213,7 +215,9 @@
   if (!row.at(4).is_null()) {
     news.ended_age = DecodeLongAge(row.at(4));
   }
-  news.is_replaced = Number<std::uint32_t>(row.at(5)) == 1;
+  const auto flags = Number<std::uint32_t>(row.at(5));
+  news.is_replaced = (flags & kReplaced) != 0;
+  news.is_measured = (flags & kMeasured) != 0;
   return news;
 }
 
@@ -449,7 +453,8 @@
 
 // News of upstreams is a CBOR array of a marker and one row an upstream: key, start of the process
 // in milliseconds modulo 2^32, pace in percent or null, age of the pace, age of the refused connect
-// or null, and 1 if another process answered. Ages are in milliseconds.
+// or null, and flags: 1 if another process answered, 2 if the pace was measured. Ages are in
+// milliseconds.
 std::string EncodeUpstreamNews(const std::vector<dispatch::UpstreamNews>& news) {
   Cbor rows = Cbor::array();
   for (const dispatch::UpstreamNews& entry : news) {
@@ -457,9 +462,9 @@
         entry.pace ? Cbor(std::clamp<long>(std::lround(*entry.pace * kPercent), 1, kMaxPacePercent))
                    : Cbor(nullptr);
     const Cbor ended = entry.ended_age ? Cbor(WholeMilliseconds(*entry.ended_age)) : Cbor(nullptr);
-    rows.push_back(
-        Cbor::array({entry.upstream_key, entry.process, pace, WholeMilliseconds(entry.pace_age),
-                     ended, entry.is_replaced ? 1 : 0}));
+    rows.push_back(Cbor::array(
+        {entry.upstream_key, entry.process, pace, WholeMilliseconds(entry.pace_age), ended,
+         (entry.is_replaced ? kReplaced : 0) | (entry.is_measured ? kMeasured : 0)}));
   }
   std::string bytes;
   Cbor::to_cbor(Cbor::array({kUpstreamNewsMarker, std::move(rows)}), bytes);
--- a/src/edge/internal/upstream_news_exchange.cc
+++ b/src/edge/internal/upstream_news_exchange.cc
@@ -90,8 +90,9 @@
   const auto news =
       dispatch::TakeUpstreamNews(edge.upstreams, edge.path.state, RuntimeClock::now());
   if (!news.empty()) {
-    const bool has_sign =
-        std::ranges::any_of(news, [](const auto& entry) { return entry.ended_age.has_value(); });
+    // A stated pace is heard often.
+    const bool has_sign = std::ranges::any_of(
+        news, [](const auto& entry) { return entry.ended_age.has_value() || entry.is_measured; });
     SendNews(edge, EncodeUpstreamNews(news), has_sign);
     edge.metrics.Count("geranium_upstream_news_messages_total");
   }
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -185,7 +185,9 @@
 }
 
 std::vector<dispatch::UpstreamNews> SampleUpstreamNews() {
-  return {{7, 0xfedcba98U, 2.5, 40ms, 30ms, true}, {8, 1, std::nullopt, 0ms, 900ms, false}, {9, 2}};
+  return {{7, 0xfedcba98U, 2.5, 40ms, 30ms, true},
+          {8, 1, std::nullopt, 0ms, 900ms, false},
+          {9, 2, 3, 0ms, std::nullopt, false, true}};
 }
 
 BOOST_AUTO_TEST_CASE(UpstreamNewsIsReadBack) {
@@ -198,6 +200,9 @@
   BOOST_TEST((read[0].pace_age == 40ms));
   BOOST_TEST((read[0].ended_age == 30ms));
   BOOST_TEST(read[0].is_replaced);
+  BOOST_TEST(!read[0].is_measured);
+  BOOST_TEST(read[2].is_measured);
+  BOOST_TEST(!read[2].is_replaced);
   BOOST_TEST(!read[1].pace.has_value());
   BOOST_TEST((read[1].ended_age == 900ms));
   BOOST_TEST(!read[1].is_replaced);
