--- a/src/dispatch/internal/overflow_order.cc
+++ b/src/dispatch/internal/overflow_order.cc
@@ -9,8 +9,8 @@
 namespace geraniumspread::dispatch {
 namespace {
 
-// The weights are those of the best of 17 sets in simulations of 64 instances. With smaller steps
-// the load chooses among the ranked engines and the shared parts are computed at more of them.
+// Weights of recomputed shared parts while the home is overloaded. With smaller steps the load
+// chooses among the ranked engines, and the parts are computed at more of them.
 constexpr double kOverflowWeight = 0.05;
 constexpr double kOverflowStep = 0.2;
 // A home that isn't overloaded keeps its requests: a weight below 1 made more of them leave it.
--- a/src/dispatch/internal/selection.cc
+++ b/src/dispatch/internal/selection.cc
@@ -240,8 +240,8 @@
     }
   }
   // Engines take overflow up to the mean load only, since it comes from many instances that don't
-  // know of each other's yet. Up to the load bound, 24 instead of 5 of 1,000 went above it in
-  // trials.
+  // know of each other's yet. With overflow up to the load bound, 24 instead of 5 of 1,000
+  // requests went above it.
   const auto takes_overflow = [&](const Candidate& candidate) {
     return candidate.running + 1 <= mean && !IsInSilentDomain(table, *candidate.row);
   };
