edge: new resumable streams keep to the version of their chat; take-ups infer it

Cause: after a power loss of all instances during a release, take-ups were refused as stream_version_unknown, because StreamOrigins was lost and two versions were listed. Change: while several versions are listed, a new resumable stream begins only at the version of its chat. A take-up whose origin neither the instance nor a peer knows infers it, once the store has confirmed the listings. An instance that may be cut off begins no such stream (listings_too_old, not run). The log line names the source version_choice; geranium_streams_taken_up_total counts by source.

--- a/src/dispatch/internal/stream_version_choice.cc
+++ b/src/dispatch/internal/stream_version_choice.cc
@@ -104,6 +104,7 @@
   const std::uint32_t lost = std::max(PartOf(listed, kLostPartOfAll), earlier_starts);
   CountRanges ranges;
   ranges.unlisted = starts + lost;
+  ranges.versions.reserve(by_version.size());
   for (auto& [version, range] : by_version) {
     range.most += lost + starts - range.starts;
     ranges.versions.push_back(range);
@@ -172,19 +173,22 @@
                                                  std::string_view service,
                                                  std::uint64_t chat,
                                                  UnixTime now) {
+  const std::span<const UpstreamRow> rows = RowsOf(table, service);
+  if (std::ranges::all_of(
+          rows, [&](const UpstreamRow& row) { return row->version == rows.front()->version; })) {
+    return std::nullopt;
+  }
   std::map<std::uint64_t, Count> by_version;
   std::uint32_t all = 0;
-  for (const UpstreamRow& row : RowsOf(table, service)) {
+  for (const UpstreamRow& row : rows) {
     const bool is_counted = !row->listing.draining && IsSettled(row->listing, now);
     Count& count = by_version[row->version];
     count.version = row->version;
     count.upstreams += is_counted ? 1 : 0;
     all += is_counted ? 1 : 0;
   }
-  if (by_version.size() < 2) {
-    return std::nullopt;
-  }
   std::vector<Count> counts;
+  counts.reserve(by_version.size());
   for (const auto& [version, count] : by_version) {
     counts.push_back(count);
   }
--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -96,7 +96,7 @@
   selection_request.prompt = run.request.prompt;
   selection_request.body_bytes = run.request.body.size();
   selection_request.tried = run.tried;
-  selection_request.version = run.stream_version;
+  selection_request.version = RequiredVersion(run);
   selection_request.latency_goal = run.route.latency_goal;
   dispatch::Selection selection =
       dispatch::SelectUpstream(edge.upstreams, edge.settings.selection, selection_request);
@@ -244,7 +244,8 @@
     }
     const dispatch::Selection selection = Select(run, peer_hashes);
     if (selection.candidates.empty()) {
-      is_version_gone = selection.failure == dispatch::SelectionFailure::kNoneOfVersion;
+      is_version_gone = run.stream_version.has_value() &&
+                        selection.failure == dispatch::SelectionFailure::kNoneOfVersion;
       reason = reason.empty() ? std::string(dispatch::ToString(selection.failure)) : reason;
       break;
     }
@@ -456,6 +457,10 @@
       co_return;
     }
   }
+  if (auto refusal = CheckListings(*run); refusal) {
+    co_await Refuse(*edge, run->request.id, std::move(*refusal), responder);
+    co_return;
+  }
   co_await RunAttempts(*run, responder);
   run->expiry.cancel();
   run->edge->metrics.ObserveTime("geranium_request_seconds", RuntimeClock::now() - started);
--- a/src/edge/internal/stream_resumption.cc
+++ b/src/edge/internal/stream_resumption.cc
@@ -1,9 +1,12 @@
 #include "edge/internal/stream_resumption.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <chrono>
 
+#include "dispatch/stream_version_choice.h"
 #include "edge/internal/peer_codec.h"
 #include "edge/internal/peer_exchange.h"
 
@@ -21,6 +24,9 @@
 constexpr std::size_t kMaxAnswerBytes = 64;
 // Time between the end of a stream and its take-up, beyond the timeout of the route.
 constexpr Duration kTakeUpTime = std::chrono::seconds(2);
+// The same where callers must first find out that all instances were gone: they come back up to
+// 4 s after the cut.
+constexpr Duration kTakeUpTimeAfterPowerLoss = std::chrono::seconds(5);
 // Interval between checks whether the store has confirmed the listings.
 constexpr Duration kConfirmationCheckInterval = std::chrono::milliseconds(20);
 // The caller may try again when peers that didn't answer are back.
@@ -86,6 +92,46 @@
                                edge.listings_followed_since, RuntimeClock::now());
 }
 
+dispatch::UnixTime UnixNow() {
+  return std::chrono::duration_cast<dispatch::UnixTime>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+bool IsResumable(const RequestRun& run) {
+  return run.route.is_stream && run.route.repeatability == dispatch::Repeatability::kResumable;
+}
+
+// Returns the version that all instances chose for the stream, if that is certain.
+std::optional<std::uint64_t> FindChosenVersion(const RequestRun& run) {
+  const std::string_view origin = OriginId(run.request);
+  // A route with several services may have sent the stream to another one.
+  if (!IsResumable(run) || dispatch::ChooseService(run.route, origin) != run.service.name) {
+    return std::nullopt;
+  }
+  const Duration waited = RuntimeClock::now() - run.started;
+  return dispatch::InferStreamVersion(
+      run.edge->upstreams, run.service.name, dispatch::ChatKey(run.request.prompt, origin),
+      run.route.timeout + kTakeUpTimeAfterPowerLoss + waited, UnixNow());
+}
+
+// True if changes of the listings may reach other instances but not this one. While the store is
+// out, no instance sees any, and all are still heard from.
+bool MayMissListings(const EdgeState& edge) {
+  const TimePoint now = RuntimeClock::now();
+  const auto age = dispatch::ConfirmationAge(edge.freshness, now);
+  if (age && *age <= dispatch::kMaxListingAge) {
+    return false;
+  }
+  std::size_t live = 0;
+  std::size_t silent = 0;
+  for (const auto& [address, peer] : edge.peers.peers) {
+    const bool is_live = dispatch::IsLive(edge.peers, peer, now);
+    live += is_live ? 1 : 0;
+    silent += is_live || peer.digest.leaving ? 0 : 1;
+  }
+  return !edge.upstreams.domains_silent.empty() || silent > live;
+}
+
 // Waits until the listings are known to contain all that was in the store when the request
 // came. Returns false if they are not confirmed within the regular time.
 asio::awaitable<bool> AwaitConfirmation(RequestRun& run) {
@@ -102,16 +148,22 @@
   co_return true;
 }
 
-// Returns the version of a stream whose origin is unknown, if only one can have begun it. When
-// all peers that would know the stream say that they don't, it didn't begin just now, and the
-// listings may be a little out of date.
-asio::awaitable<std::optional<std::uint64_t>> InferVersion(RequestRun& run, const Lookup& lookup) {
+// Sets the version of a stream whose origin is unknown, if only one can have begun it. When all
+// peers that would know the stream say that they don't, it didn't begin just now, and the listings
+// may be a little out of date.
+asio::awaitable<void> InferVersion(RequestRun& run, Lookup& lookup) {
   const bool is_denied = lookup.holders > 0 && lookup.silent == 0;
-  if (is_denied || !FindOnlyVersion(run)) {
-    co_return FindOnlyVersion(run);
+  lookup.version = FindOnlyVersion(run);
+  lookup.source = "only_version";
+  if (lookup.version ? is_denied : !FindChosenVersion(run)) {
+    co_return;
   }
   const bool is_confirmed = co_await AwaitConfirmation(run);
-  co_return is_confirmed ? FindOnlyVersion(run) : std::nullopt;
+  lookup.version = is_confirmed ? FindOnlyVersion(run) : std::nullopt;
+  if (is_confirmed && !lookup.version) {
+    lookup.version = FindChosenVersion(run);
+    lookup.source = "version_choice";
+  }
 }
 
 }  // namespace
@@ -126,18 +178,42 @@
   }
 }
 
+std::optional<std::uint64_t> RequiredVersion(const RequestRun& run) {
+  if (run.stream_version || !IsResumable(run)) {
+    return run.stream_version;
+  }
+  return dispatch::ChooseStreamVersion(run.edge->upstreams, run.service.name,
+                                       dispatch::ChatKey(run.request.prompt, run.request.id),
+                                       UnixNow());
+}
+
+std::optional<Refusal> CheckListings(const RequestRun& run) {
+  if (run.stream_version || !RequiredVersion(run) || !MayMissListings(*run.edge)) {
+    return std::nullopt;
+  }
+  return Refusal{503, "listings_too_old",
+                 "upstreams of several versions serve, and newer ones may not be known here",
+                 RunState::kNotRun, kLookupRetryAfter};
+}
+
 asio::awaitable<std::optional<Refusal>> FindStreamVersion(RequestRun& run) {
   EdgeState& edge = *run.edge;
   const std::uint64_t stream = dispatch::StreamKey(OriginId(run.request));
   Lookup lookup{dispatch::FindOrigin(edge.origins, stream), "own"};
+  std::string_view source = lookup.source;
   // An instance that was cut off or stood still may not know all versions, so peers come first.
   if (!lookup.version && !run.request.resumes.empty()) {
     lookup = co_await AskHolders(run, stream);
+    source = "peer";
+  }
+  if (!lookup.version) {
+    co_await InferVersion(run, lookup);
+    source = lookup.source;
   }
   if (!lookup.version) {
-    lookup.version = co_await InferVersion(run, lookup);
-    lookup.source = "only_version";
+    source = "none";
   }
+  edge.metrics.Count("geranium_streams_taken_up_total", {{"source", source}});
   LogEvent(LogLevel::kInfo, "stream_taken_up",
            {{"request_id", run.request.id},
             {"resumes", run.request.resumes},
@@ -152,7 +228,8 @@
     StoreOrigin(edge, stream, *lookup.version);
     co_return std::nullopt;
   }
-  const bool may_be_known_soon = lookup.silent > 0 || FindOnlyVersion(run);
+  const bool may_be_known_soon =
+      lookup.silent > 0 || FindOnlyVersion(run) || FindChosenVersion(run);
   co_return Refusal{503, "stream_version_unknown",
                     "the version of the upstream at which the stream began is not known",
                     RunState::kNotRun, may_be_known_soon ? kLookupRetryAfter : Duration{0}};
--- a/src/edge/internal/stream_resumption.h
+++ b/src/edge/internal/stream_resumption.h
@@ -12,6 +12,12 @@
 // Call before the first event of a stream is passed on. Stores the version of the upstream
 // and sends it to peers, unless the stream continues an earlier one.
 void RecordStreamBegin(RequestRun& run, const dispatch::Upstream& upstream);
+// Returns the version at which the request must begin a resumable stream, or that of the stream if
+// it has begun. Returns nullopt if any version will do.
+std::optional<std::uint64_t> RequiredVersion(const RequestRun& run);
+// Returns the refusal if the request may not begin a resumable stream here, because the instance
+// may be cut off from changes of the listings on which `RequiredVersion` rests.
+std::optional<Refusal> CheckListings(const RequestRun& run);
 // For a request that takes up a stream: finds the version at which the stream began, here or
 // at peers. Returns the refusal if the version can't be known, so that the stream can't
 // continue anywhere.
--- a/src/edge/tests/edge_resume_test.cc
+++ b/src/edge/tests/edge_resume_test.cc
@@ -1,7 +1,10 @@
+#include <algorithm>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <set>
 
 #include "common/runtime_timer.h"
+#include "edge/internal/peer_codec.h"
 #include "edge/tests/edge_fixture.h"
 
 // Streams that break off while upstreams of two software versions serve.
@@ -45,6 +48,32 @@
         {this->era, this->revision});
   }
 
+  // Sends a digest of a peer.
+  void HearPeer() {
+    dispatch::PeerDigest digest;
+    digest.instance = "peer";
+    digest.incarnation = 1;
+    digest.sequence = 1;
+    digest.address = "127.0.0.2";
+    digest.failure_domain = "a";
+    const std::string bytes = detail::EncodeDigest(digest);
+    boost::asio::ip::udp::socket socket(this->io,
+                                        {boost::asio::ip::make_address(digest.address), 0});
+    socket.send_to(boost::asio::buffer(bytes),
+                   {boost::asio::ip::make_address("127.0.0.1"), this->settings.digest_port});
+    this->RunFor(50ms);
+  }
+
+  // Returns the index of the upstream that got a request.
+  std::size_t UpstreamOf(const std::string& id) const {
+    const auto got = std::ranges::find_if(this->upstreams, [&id](const auto& upstream) {
+      return std::ranges::any_of(upstream->requests, [&id](const std::string& request) {
+        return request.find("X-Id: " + id + "\r\n") != std::string::npos;
+      });
+    });
+    return static_cast<std::size_t>(got - this->upstreams.begin());
+  }
+
   // Calls, and gets a stream that breaks off. Returns the id of the request.
   std::string BreakOff() {
     const auto answer = this->Call("/resume/1", {{"X-Id", "first"}});
@@ -162,6 +191,68 @@
   BOOST_TEST(upstream.requests.size() == 1U);
 }
 
+// Guards against take-ups that are refused after all instances have lost power, although the
+// listings tell at which version requests of the chat begin, and against another version.
+BOOST_FIXTURE_TEST_CASE(AStreamThatNobodyKnowsContinuesAtTheVersionOfItsChat, Fixture) {
+  for (int index = 0; index < 12; ++index) {
+    this->AddUpstream({Events(0, 2)}, index % 2 == 0 ? "v1" : "v2");
+  }
+  std::size_t continued = 0;
+  std::set<std::size_t> versions;
+  for (int chat = 0; chat < 20; ++chat) {
+    const std::string parts = "1," + std::to_string(100 + chat) + ",2";
+    const std::string id = "chat-" + std::to_string(chat);
+    BOOST_TEST(this->Call("/resume/1", {{"X-Id", id}, {"X-Parts", parts}}).value().status == 200);
+    RuntimeTimer timer(this->io, 10ms);
+    timer.async_wait([this](const boost::system::error_code&) {
+      this->edge->OnFeedConfirmed(RuntimeClock::now());
+    });
+    const auto answer = this->Call("/resume/1", {{"X-Id", id + "-again"},
+                                                 {"X-Parts", parts},
+                                                 {"X-Last-Event-Id", "0"},
+                                                 {"X-Resumes", "lost-" + id}});
+    versions.insert(this->UpstreamOf(id) % 2);
+    if (answer.value().status == 200) {
+      ++continued;
+      BOOST_TEST(this->UpstreamOf(id) % 2 == this->UpstreamOf(id + "-again") % 2);
+    }
+  }
+  BOOST_TEST(versions.size() == 2U);
+  BOOST_TEST(continued >= 10U);
+}
+
+// Guards against a version that is inferred from listings that may lack upstreams.
+BOOST_FIXTURE_TEST_CASE(UnconfirmedListingsTellNoVersionOfAChat, Fixture) {
+  for (int index = 0; index < 12; ++index) {
+    this->AddUpstream({Events(1, 2)}, index % 2 == 0 ? "v1" : "v2");
+  }
+  const auto refused = this->Call(
+      "/resume/1", {{"X-Parts", "1,100,2"}, {"X-Last-Event-Id", "0"}, {"X-Resumes", "lost"}});
+  BOOST_TEST(refused.value().status == 503);
+  BOOST_TEST(FindHeader(refused.value().headers, "X-Ran") == "no");
+}
+
+// Guards against a stream that begins at the version that its chat had some time ago, at an
+// instance that no longer sees changes. Where all versions are the same, it goes on.
+BOOST_FIXTURE_TEST_CASE(AnInstanceThatMayBeCutOffBeginsNoStreamOfSeveralVersions, Fixture) {
+  this->AddUpstream({Events(0, 2)}, "v1");
+  this->AddUpstream({Events(0, 2)}, "v1");
+  this->HearPeer();
+  {
+    const ScopedPausedClock paused;
+    RuntimeClock::Advance(5s);
+  }
+  BOOST_TEST(this->Call("/resume/1").value().status == 200);
+  this->AddUpstream({Events(0, 2)}, "v2");
+  this->AddUpstream({Events(0, 2)}, "v2");
+  const auto refused = this->Call("/resume/1").value();
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(FindHeader(refused.headers, "X-Ran") == "no");
+  BOOST_TEST(this->Call("/lookup/1").value().status == 200);
+  this->edge->OnFeedConfirmed(RuntimeClock::now());
+  BOOST_TEST(this->Call("/resume/1").value().status == 200);
+}
+
 // A stream that has not begun may begin at any version, also after a failed attempt.
 BOOST_FIXTURE_TEST_CASE(AnAttemptWithoutAnEventLeavesTheChoiceOfTheVersion, Fixture) {
   this->AddUpstream({test::NotRun()}, "v1");
