--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -175,10 +175,10 @@
       config.routes["127.0.0.1"][prefix] = MakeRoute(prefix, repeatability);
     }
     config.routes["127.0.0.1"]["/stream/slow/"] = MakeSlowStream();
-      if (item.value != "without-service") {
-        config.services["app"].name = "app";
-        config.services["app"].health_path = "/healthz";
-      }
+    if (item.value != "without-service") {
+      config.services["app"].name = "app";
+      config.services["app"].health_path = "/healthz";
+    }
     config.keys["key"] = {"blue", std::nullopt};
     config.keys["s3cret-key"] = {"blue", std::nullopt};
     config.has_workspaces = true;
