edge: taking a place is a function of its own

Change: TakePlace records the place of the chosen upstream. Result: edge_waiting_test passes; no behaviour changes.

--- a/src/edge/internal/request_run.cc
+++ b/src/edge/internal/request_run.cc
@@ -266,6 +266,13 @@
   co_return std::move(entry.refusal);
 }
 
+// Counts the request at the chosen upstream, as it no longer waits.
+void TakePlace(RequestRun& run, const dispatch::Candidate& chosen) {
+  run.place = chosen.row;
+  run.inherited_place = 0;
+  run.is_returning = false;
+}
+
 // Runs attempts until one delivers a response or no other is allowed.
 asio::awaitable<void> RunAttempts(RequestRun& run, transport::HttpResponder& responder) {
   const std::vector<std::uint64_t> peer_hashes = dispatch::PeerHashes(run.edge->peers);
@@ -298,9 +305,7 @@
       reason = reason.empty() ? std::string(dispatch::ToString(selection.failure)) : reason;
       break;
     }
-    run.place = selection.candidates.front().row;
-    run.inherited_place = 0;
-    run.is_returning = false;
+    TakePlace(run, selection.candidates.front());
     CountEngineChoice(run, selection.candidates.front());
     Attempt attempt = co_await RunAttempt(run, selection.candidates.front(), responder);
     LogAttempt(run, selection, attempt);
