--- a/src/edge/tests/edge_waiting_test.cc
+++ b/src/edge/tests/edge_waiting_test.cc
@@ -37,7 +37,11 @@
     this->fixture.io.restart();
     while (!*this->answer && this->fixture.io.run_one() > 0) {
     }
-    return this->answer->value().value();
+    const std::optional<transport::Result<transport::HttpResponse>>& result = *this->answer;
+    if (!result) {
+      throw std::runtime_error("the request got no answer");
+    }
+    return result->value();
   }
 
   bool IsWaiting() {
