--- a/src/edge/tests/edge_waiting_test.cc
+++ b/src/edge/tests/edge_waiting_test.cc
@@ -1,6 +1,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <set>
+#include <stdexcept>
 
 #include "edge/tests/edge_fixture.h"
 
