--- a/src/common/tests/common_test.cc
+++ b/src/common/tests/common_test.cc
@@ -5,6 +5,7 @@
 #include "common/hash.h"
 #include "common/runtime_clock.h"
 #include "common/secure_bytes.h"
+#include "common/utf8.h"
 
 namespace geraniumspread {
 namespace {
@@ -61,5 +62,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(InvalidUtf8IsFoundAndReplaced) {
+  for (const std::string text : {"", "a", "\xc3\xa9", "\xf0\x9f\x98\x80", "\xef\xbf\xbd"}) {
+    BOOST_TEST(IsUtf8(text), text);
+    BOOST_TEST(ReplaceInvalidUtf8(text) == text);
+  }
+  for (const std::string byte : {"\x80", "\xc3", "\xe2\x82", "\xc0\xaf", "\xed\xa0\x80", "\xff"}) {
+    BOOST_TEST(!IsUtf8("a" + byte));
+    BOOST_TEST(!IsUtf8(byte + "z"));
+    const std::string replaced = ReplaceInvalidUtf8("a" + byte + "z");
+    BOOST_TEST(IsUtf8(replaced));
+    BOOST_TEST(replaced.starts_with("a\xef\xbf\xbd"));
+    BOOST_TEST(replaced.ends_with("\xef\xbf\xbdz"));
+  }
+}
+
 }  // namespace
 }  // namespace geraniumspread
