edge: a value that isn't UTF-8 no longer spoils the copy for peers

What callers saw: with the store away, an instance that was restarted served no look-up, although its peers held the whole state.

Cause: EncodeItem put the value into the JSON of the copy as text. JSON can't hold bytes that aren't UTF-8, and the parser of the receiver refused the copy with all its items.

Change: such a value goes as base64 in a fifth element of the row, and its text is empty. Copies are parsed with invalid UTF-8 allowed, for those of earlier builds.

Earlier builds read the first four elements by a strict parser and get an empty value, which names no upstream, like the real one: EarlierBuildsReadACopyWithValuesThatAreNotUtf8. Why it works: the copy is valid JSON whatever bytes a value holds.

--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -11,7 +11,9 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "common/base64.h"
 #include "common/compression.h"
+#include "common/utf8.h"
 
 namespace geraniumspread::edge::detail {
 namespace {
@@ -52,8 +54,11 @@
 // First byte of a compressed transfer. An uncompressed one starts with a brace.
 constexpr char kCompressedMarker = 'Z';
 
+// Earlier builds send values that aren't UTF-8 as they are.
 json::object Parse(std::string_view bytes) {
-  return json::parse(bytes).as_object();
+  json::parse_options options;
+  options.allow_invalid_utf8 = true;
+  return json::parse(bytes, {}, options).as_object();
 }
 
 json::value EncodeAge(const std::optional<Duration>& age) {
@@ -263,14 +268,28 @@
   }
 }
 
+// Elements of the row of an item.
+constexpr std::size_t kItemFields = 4;
+
+// A row of an item: key, value, revision, whether it was removed. A value that isn't UTF-8 comes in
+// base64 as a further element, since JSON can't hold it. Earlier builds ignore that element and
+// read an empty value, which is malformed as well.
 json::array EncodeItem(const dispatch::PublishedItem& item) {
-  return {item.key, item.value, item.revision, item.removed};
+  if (IsUtf8(item.value)) {
+    return {item.key, item.value, item.revision, item.removed};
+  }
+  return {item.key, "", item.revision, item.removed, EncodeBase64(item.value)};
 }
 
 dispatch::PublishedItem DecodeItem(const json::value& value) {
   const json::array& row = value.as_array();
-  return {std::string(row.at(0).as_string()), std::string(row.at(1).as_string()),
-          row.at(2).to_number<std::uint64_t>(), row.at(3).as_bool()};
+  dispatch::PublishedItem item{std::string(row.at(0).as_string()),
+                               std::string(row.at(1).as_string()),
+                               row.at(2).to_number<std::uint64_t>(), row.at(3).as_bool()};
+  if (row.size() > kItemFields) {
+    item.value = DecodeBase64(row.at(kItemFields).as_string()).value();
+  }
+  return item;
 }
 
 // A row of a retained item: key, era and revision of the lost change, age in milliseconds,
--- a/src/edge/tests/peer_codec_test.cc
+++ b/src/edge/tests/peer_codec_test.cc
@@ -1,6 +1,8 @@
 #include "edge/internal/peer_codec.h"
 
 #include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 #include <random>
 
@@ -324,6 +326,53 @@
   BOOST_TEST(!transfer.retained[2].value.has_value());
 }
 
+// Values that other programs wrote and that aren't UTF-8.
+const std::vector<std::string> kBinaryValues = {"\x80", "\xff\xfe", "caf\xe9",
+                                                "{\"zone\":\"\xfc\"}", std::string("\0\xc3", 2)};
+
+// Guards against a copy that fails for all items because of one value.
+BOOST_AUTO_TEST_CASE(ValuesThatAreNotUtf8AreCopied) {
+  for (const std::string& value : kBinaryValues) {
+    StateTransfer sent = SampleTransfer(10);
+    sent.items.push_back({"odd", value, 7, false});
+    sent.items.push_back({"kept", "old", 5, false});
+    sent.retained = {{.key = "kept",
+                      .origin = {2, 30},
+                      .restored = dispatch::PublishedItem{"kept", value, 5},
+                      .age = 4s}};
+    const StateTransfer transfer = DecodeTransfer(EncodeTransfer(sent)).value_or(StateTransfer{});
+    BOOST_TEST_REQUIRE(transfer.items.size() == 4U);
+    BOOST_TEST(std::ranges::count(transfer.items, value, &dispatch::PublishedItem::value) == 2);
+    BOOST_TEST(transfer.items.front().value == sent.items.front().value);
+  }
+}
+
+// Earlier builds parse strictly and read the first four elements of a row.
+BOOST_AUTO_TEST_CASE(EarlierBuildsReadACopyWithValuesThatAreNotUtf8) {
+  for (const std::string& value : kBinaryValues) {
+    StateTransfer sent = SampleTransfer(10);
+    sent.items.push_back({"odd", value, 7, false});
+    const auto read = boost::json::parse(EncodeTransfer(sent));
+    const boost::json::array& row = read.at("items").as_array().back().as_array();
+    BOOST_TEST(row.at(0).as_string() == "odd");
+    BOOST_TEST(row.at(1).as_string().empty());
+    BOOST_TEST(row.at(2).to_number<int>() == 7);
+    BOOST_TEST(!row.at(3).as_bool());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ACopyOfAnEarlierBuildIsRead) {
+  for (const std::string& value : {kBinaryValues[0], kBinaryValues[1], kBinaryValues[2]}) {
+    const std::string sent =
+        R"({"revision":9,"complete":true,"confirmation_age_ms":null,"items":[["odd",")" + value +
+        R"(",7,false],["config","text",9,false]]})";
+    const StateTransfer transfer = DecodeTransfer(sent).value_or(StateTransfer{});
+    BOOST_TEST_REQUIRE(transfer.items.size() == 2U);
+    BOOST_TEST(transfer.items.front().value == value);
+    BOOST_TEST(transfer.items.back().value == "text");
+  }
+}
+
 // A configuration with many routes must fit a slow link.
 BOOST_AUTO_TEST_CASE(LargeTransfersAreCompressed) {
   for (const std::size_t size : {10U, 500'000U}) {
