dispatch: upstreams of services that no configuration names prove no path

What callers saw: with a few entries in the store whose services nobody configured and whose address was live, an instance that was cut off from all upstreams served no request; it took its path for sound and used no peer as a relay.

Cause: a check of the path spreads its probes over services, so each of those services got one before a second upstream of a real one. The same entries counted among the listed upstreams, and made an instance without any usable upstream offer itself as a relay.

Change: the table of upstreams knows the configured services. Checks, the number of listed upstreams and the digest's statement count only upstreams of these. The entries are kept, as a later configuration may name their service; /status shows which ones are in use (configured).

Why it works: only an upstream that may get a request says whether requests have a path.

--- a/src/dispatch/internal/upstream_path.cc
+++ b/src/dispatch/internal/upstream_path.cc
@@ -123,7 +123,9 @@
   std::vector<UpstreamRow> rows;
   rows.reserve(upstreams.rows.size());
   for (const auto& [id, row] : upstreams.rows) {
-    rows.push_back(row);
+    if (IsConfigured(upstreams, *row)) {
+      rows.push_back(row);
+    }
   }
   std::ranges::shuffle(rows, random);
   std::vector<UpstreamRow> chosen;
--- a/src/dispatch/internal/upstream_table.cc
+++ b/src/dispatch/internal/upstream_table.cc
@@ -165,6 +165,23 @@
   return static_cast<std::uint32_t>(upstream.id_hash);
 }
 
+bool IsConfigured(const UpstreamTable& table, const Upstream& upstream) {
+  return !table.configured_services ||
+         table.configured_services->contains(upstream.listing.service);
+}
+
+std::size_t CountConfigured(const UpstreamTable& table) {
+  if (!table.configured_services) {
+    return table.rows.size();
+  }
+  std::size_t count = 0;
+  for (const std::string& service : *table.configured_services) {
+    const auto rows = table.by_service.find(service);
+    count += rows == table.by_service.end() ? 0 : rows->second.size();
+  }
+  return count;
+}
+
 bool IsCold(const Upstream& upstream, TimePoint now) {
   return now < upstream.cold_until;
 }
--- a/src/dispatch/tests/upstream_path_test.cc
+++ b/src/dispatch/tests/upstream_path_test.cc
@@ -1,5 +1,6 @@
 #include "dispatch/upstream_path.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <set>
 
@@ -225,6 +226,29 @@
   BOOST_TEST(ChooseProbedUpstreams(UpstreamTable{}, 4, this->random).empty());
 }
 
+// Guards against checks of upstreams that no request uses: dead ones would have a sound path called
+// lost, a live one a lost path sound. A later configuration may name their service.
+BOOST_FIXTURE_TEST_CASE(OnlyConfiguredUpstreamsAreProbed, Fixture) {
+  ApplyListing(this->upstreams, MakeListing("u1", "app", "a"), kStart);
+  ApplyListing(this->upstreams, MakeListing("u2", "app", "a"), kStart);
+  for (int index = 0; index < 5; ++index) {
+    const std::string number = std::to_string(index);
+    ApplyListing(this->upstreams, MakeListing("other" + number, "s" + number, "d" + number),
+                 kStart);
+  }
+  this->upstreams.configured_services = {"app", "unlisted"};
+  BOOST_TEST(CountConfigured(this->upstreams) == 2U);
+  for (int draw = 0; draw < 50; ++draw) {
+    const auto chosen = ChooseProbedUpstreams(this->upstreams, 4, this->random);
+    BOOST_TEST(chosen.size() == 2U);
+    BOOST_TEST(std::ranges::all_of(
+        chosen, [](const UpstreamRow& row) { return row->listing.service == "app"; }));
+  }
+  this->upstreams.configured_services = {"app", "s0", "s1"};
+  BOOST_TEST(CountConfigured(this->upstreams) == 4U);
+  BOOST_TEST(ChooseProbedUpstreams(this->upstreams, 4, this->random).size() == 4U);
+}
+
 // Guards against upstreams that are avoided after the path is back.
 BOOST_FIXTURE_TEST_CASE(FailuresOfALostPathAreForgotten, Fixture) {
   for (const std::string id : {"u1", "u2", "u3"}) {
--- a/src/dispatch/upstream_path.h
+++ b/src/dispatch/upstream_path.h
@@ -68,9 +68,9 @@
 };
 
 // Records a failed connect to an upstream or the loss of a connection. Returns true if a check
-// must start; the path is then suspected to be lost. `listed` is the number of upstreams. After an
-// unanswered request on a new connection, checks need an answer until a request or a check gets
-// one.
+// must start; the path is then suspected to be lost. `listed` is the number of upstreams of
+// configured services. After an unanswered request on a new connection, checks need an answer until
+// a request or a check gets one.
 bool RecordPathFailure(UpstreamPath& path,
                        std::string_view upstream,
                        std::size_t listed,
@@ -96,8 +96,8 @@
 // True if the next probe of a lost path is due.
 bool TakeRecoveryProbe(UpstreamPath& path, TimePoint now);
 
-// Returns random upstreams to probe, of as many failure domains and services as possible. Those
-// in silent failure domains come last.
+// Returns random upstreams of configured services to probe, of as many failure domains and services
+// as possible. Those in silent failure domains come last.
 std::vector<UpstreamRow> ChooseProbedUpstreams(const UpstreamTable& upstreams,
                                                std::size_t count,
                                                std::mt19937_64& random);
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -180,6 +180,10 @@
 };
 
 struct UpstreamTable {
+  // Services of the configuration in force; unset before the first one, when all upstreams count.
+  // Upstreams of other services serve no request, and are kept because a later configuration may
+  // name their service.
+  std::optional<std::set<std::string, std::less<>>> configured_services;
   std::unordered_map<std::string, UpstreamRow> rows;
   // Keyed by id and start time of the process.
   std::map<std::pair<std::string, std::int64_t>, DroppedProcess> dropped;
@@ -221,6 +225,9 @@
 // processes that were removed long ago. Returns the ids of the removed upstreams.
 std::vector<std::string> ExpireRemovals(UpstreamTable& table, TimePoint now);
 
+bool IsConfigured(const UpstreamTable& table, const Upstream& upstream);
+// Returns the number of upstreams whose service is configured.
+std::size_t CountConfigured(const UpstreamTable& table);
 bool IsCold(const Upstream& upstream, TimePoint now);
 // True if no digest arrives from its failure domain, which suggests a partition.
 bool IsInSilentDomain(const UpstreamTable& table, const Upstream& upstream);
--- a/src/edge/internal/path_watch.cc
+++ b/src/edge/internal/path_watch.cc
@@ -195,8 +195,9 @@
 void RecordPathFailure(const Edge& edge,
                        const dispatch::Upstream& upstream,
                        dispatch::PathSign sign) {
-  if (dispatch::RecordPathFailure(edge->path, upstream.listing.id, edge->upstreams.rows.size(),
-                                  RuntimeClock::now(), sign)) {
+  if (dispatch::RecordPathFailure(edge->path, upstream.listing.id,
+                                  dispatch::CountConfigured(edge->upstreams), RuntimeClock::now(),
+                                  sign)) {
     asio::co_spawn(edge->io, CheckPath(edge), asio::detached);
   }
 }
--- a/src/edge/internal/peer_exchange.cc
+++ b/src/edge/internal/peer_exchange.cc
@@ -76,7 +76,7 @@
   digest.confirmation_age = dispatch::ConfirmationAge(edge.freshness, RuntimeClock::now());
   digest.reads_store = edge.feed_reachable && edge.reads_store;
   digest.reaches_upstreams = edge.path.state != dispatch::PathState::kLost && !edge.stopping &&
-                             !edge.upstreams.rows.empty();
+                             dispatch::CountConfigured(edge.upstreams) > 0;
   digest.loads = dispatch::OwnLoads(edge.upstreams);
   digest.reports = dispatch::OwnReports(edge.upstreams, RuntimeClock::now());
   digest.known_addresses = dispatch::AddressesToShare(edge.peers, edge.random, RuntimeClock::now());
--- a/src/edge/internal/published_feed.cc
+++ b/src/edge/internal/published_feed.cc
@@ -80,6 +80,10 @@
   if (edge.caller_server) {
     edge.caller_server->SetLimits(LimitsOf(config.limits));
   }
+  auto& services = edge.upstreams.configured_services.emplace();
+  for (const auto& [name, rules] : config.services) {
+    services.insert(name);
+  }
   edge.config = std::move(config);
   edge.config_era = edge.published.position.era;
 }
--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -56,6 +56,7 @@
           {"service", upstream.listing.service},
           {"address", upstream.listing.address},
           {"failure_domain", upstream.listing.failure_domain},
+          {"configured", dispatch::IsConfigured(edge.upstreams, upstream)},
           {"takes_new_work", dispatch::TakesNewWork(edge.upstreams, upstream)},
           {"leaving", upstream.announced.leaving},
           {"requests_per_second", upstream.limit.requests.per_second
--- a/src/edge/tests/edge_fixture.cc
+++ b/src/edge/tests/edge_fixture.cc
@@ -191,12 +191,15 @@
   listing.id = item.key;
   listing.service = "app";
   listing.slots = 8;
-  // The address, then optionally the version, the failure domain and the slots.
+  // The address, then optionally the version, the failure domain, the slots and the service.
   std::istringstream value(item.value);
   value >> listing.address >> listing.version >> listing.failure_domain;
   if (std::uint32_t slots = 0; value >> slots) {
     listing.slots = slots;
   }
+  if (std::string service; value >> service) {
+    listing.service = service;
+  }
   if (listing.failure_domain.empty()) {
     listing.failure_domain = "a";
   }
--- a/src/edge/tests/edge_fixture.h
+++ b/src/edge/tests/edge_fixture.h
@@ -113,7 +113,7 @@
   std::size_t current = 0;
   std::vector<std::unique_ptr<RawUpstream>> upstreams;
   std::size_t listings = 0;
-  // Added to the published value of each upstream: its failure domain and its slots.
+  // Added to the published value of each upstream: its failure domain, its slots and its service.
   std::string listing_details;
   std::uint64_t revision = 1;
   // Era of the store.
--- a/src/edge/tests/edge_path_control_test.cc
+++ b/src/edge/tests/edge_path_control_test.cc
@@ -97,5 +97,39 @@
              boost::test_tools::per_element());
 }
 
+// Guards against a lost path that stays undetected because an upstream that no request uses is
+// reached.
+BOOST_AUTO_TEST_CASE(UnconfiguredUpstreamsHideNoLostPath) {
+  PathFixture fixture;
+  test::RawUpstream live(fixture.io, {test::Sealed("x")});
+  // The ids follow those of the fixture.
+  fixture.listings = fixture.upstreams.size();
+  for (const std::string number : {"1", "2", "3", "4", "5"}) {
+    fixture.listing_details = "domain-" + number + " 8 other-" + number;
+    fixture.AddListing(live);
+  }
+  fixture.Trickle(500ms);
+  fixture.SetFault(PathFault::kReset);
+  fixture.Trickle(2s);
+  const PathFixture::Tries tries = fixture.Trickle(2s);
+  BOOST_TEST(tries.served == tries.sent);
+  BOOST_TEST(live.connections == 0U);
+  BOOST_TEST(live.health_checks == 0U);
+}
+
+// Guards against requests that are relayed to an instance that knows no upstream for them.
+BOOST_AUTO_TEST_CASE(UnconfiguredUpstreamsMakeNoRelay) {
+  test::EdgeFixture fixture;
+  fixture.AddInstance("127.0.0.2");
+  fixture.listing_details = "a 8 other";
+  const test::RawUpstream& upstream = fixture.AddUpstream({test::Sealed("x")});
+  fixture.RunFor(1s);
+  BOOST_TEST(fixture.Ask("/status").find(R"("reaches_upstreams":true)") == std::string::npos);
+  fixture.listing_details = "a 8 app";
+  fixture.AddListing(upstream);
+  fixture.RunFor(1s);
+  BOOST_TEST(fixture.Ask("/status").find(R"("reaches_upstreams":true)") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace geraniumspread::edge
