--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -287,7 +287,11 @@
                                std::string(row.at(1).as_string()),
                                row.at(2).to_number<std::uint64_t>(), row.at(3).as_bool()};
   if (row.size() > kItemFields) {
-    item.value = DecodeBase64(row.at(kItemFields).as_string()).value();
+    auto bytes = DecodeBase64(row.at(kItemFields).as_string());
+    if (!bytes) {
+      throw std::invalid_argument("a value is no base64");
+    }
+    item.value = std::move(*bytes);
   }
   return item;
 }
--- a/src/edge/tests/edge_path_control_test.cc
+++ b/src/edge/tests/edge_path_control_test.cc
@@ -105,7 +105,8 @@
   // The ids follow those of the fixture.
   fixture.listings = fixture.upstreams.size();
   for (const std::string number : {"1", "2", "3", "4", "5"}) {
-    fixture.listing_details = "domain-" + number + " 8 other-" + number;
+    fixture.listing_details = "domain-";
+    fixture.listing_details.append(number).append(" 8 other-").append(number);
     fixture.AddListing(live);
   }
   fixture.Trickle(500ms);
