--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -225,6 +225,7 @@
 // processes that were removed long ago. Returns the ids of the removed upstreams.
 std::vector<std::string> ExpireRemovals(UpstreamTable& table, TimePoint now);
 
+// True if requests may use the upstream: the configuration names its service, or there is none yet.
 bool IsConfigured(const UpstreamTable& table, const Upstream& upstream);
 // Returns the number of upstreams whose service is configured.
 std::size_t CountConfigured(const UpstreamTable& table);
--- a/src/edge/internal/peer_codec.cc
+++ b/src/edge/internal/peer_codec.cc
@@ -268,7 +268,7 @@
   }
 }
 
-// Elements of the row of an item.
+// Elements of the row of an item whose value is text.
 constexpr std::size_t kItemFields = 4;
 
 // A row of an item: key, value, revision, whether it was removed. A value that isn't UTF-8 comes in
