edge: /status lists no new work for upstreams of unconfigured services

What operators saw: an entry whose service nobody configured counted among the upstreams that take new work, on /status and in geranium_ctl instances.

Cause: the field told only whether the upstream leaves or is out of service.

Change: takes_new_work needs a configured service, too.

Evidence: UnconfiguredUpstreamsMakeNoRelay (edge_path_control_test) failed with this check before and passes now; edge_test and geranium_ctl_test pass. Why it works: no request selects such an upstream.

--- a/src/edge/internal/status_page.cc
+++ b/src/edge/internal/status_page.cc
@@ -52,12 +52,13 @@
 }
 
 json::object UpstreamRow(const EdgeState& edge, const dispatch::Upstream& upstream, TimePoint now) {
+  const bool is_configured = dispatch::IsConfigured(edge.upstreams, upstream);
   return {{"id", upstream.listing.id},
           {"service", upstream.listing.service},
           {"address", upstream.listing.address},
           {"failure_domain", upstream.listing.failure_domain},
-          {"configured", dispatch::IsConfigured(edge.upstreams, upstream)},
-          {"takes_new_work", dispatch::TakesNewWork(edge.upstreams, upstream)},
+          {"configured", is_configured},
+          {"takes_new_work", is_configured && dispatch::TakesNewWork(edge.upstreams, upstream)},
           {"leaving", upstream.announced.leaving},
           {"requests_per_second", upstream.limit.requests.per_second
                                       ? json::value(*upstream.limit.requests.per_second)
--- a/src/edge/tests/edge_path_control_test.cc
+++ b/src/edge/tests/edge_path_control_test.cc
@@ -126,10 +126,12 @@
   const test::RawUpstream& upstream = fixture.AddUpstream({test::Sealed("x")});
   fixture.RunFor(1s);
   BOOST_TEST(fixture.Ask("/status").find(R"("reaches_upstreams":true)") == std::string::npos);
+  BOOST_TEST(fixture.Ask("/status").find(R"("takes_new_work":true)") == std::string::npos);
   fixture.listing_details = "a 8 app";
   fixture.AddListing(upstream);
   fixture.RunFor(1s);
   BOOST_TEST(fixture.Ask("/status").find(R"("reaches_upstreams":true)") != std::string::npos);
+  BOOST_TEST(fixture.Ask("/status").find(R"("takes_new_work":true)") != std::string::npos);
 }
 
 }  // namespace
