--- a/src/config/internal/csv_reader.cc
+++ b/src/config/internal/csv_reader.cc
@@ -3,7 +3,6 @@
 #include <csv.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace geraniumspread::config {
@@ -42,40 +41,6 @@
   ++run.row.number;
 }
 
-struct Utf8Form {
-  unsigned char lead_mask;
-  unsigned char lead;
-  int following;
-  char32_t min_code_point;
-};
-
-constexpr std::array<Utf8Form, 4> kUtf8Forms{{{0x80, 0x00, 0, 0x0},
-                                              {0xe0, 0xc0, 1, 0x80},
-                                              {0xf0, 0xe0, 2, 0x800},
-                                              {0xf8, 0xf0, 3, 0x10000}}};
-
-// Length of the valid sequence at the start of `text`, or 0.
-std::size_t Utf8SequenceLength(std::string_view text) {
-  const auto lead = static_cast<unsigned char>(text.front());
-  const auto* form = std::ranges::find_if(
-      kUtf8Forms, [lead](const Utf8Form& entry) { return (lead & entry.lead_mask) == entry.lead; });
-  if (form == kUtf8Forms.end() || text.size() <= static_cast<std::size_t>(form->following)) {
-    return 0;
-  }
-  char32_t code_point = lead & static_cast<unsigned char>(~form->lead_mask);
-  for (int index = 1; index <= form->following; ++index) {
-    const auto byte = static_cast<unsigned char>(text[static_cast<std::size_t>(index)]);
-    if ((byte & 0xc0U) != 0x80U) {
-      return 0;
-    }
-    code_point = (code_point << 6U) | (byte & 0x3fU);
-  }
-  const bool is_surrogate = code_point >= 0xd800 && code_point <= 0xdfff;
-  const bool is_valid =
-      code_point >= form->min_code_point && code_point <= 0x10ffff && !is_surrogate;
-  return is_valid ? static_cast<std::size_t>(form->following) + 1 : 0;
-}
-
 std::optional<CsvError> ErrorOf(csv_parser& parser, const CsvRun& run) {
   switch (csv_error(&parser)) {
     case CSV_SUCCESS:
@@ -148,15 +113,4 @@
   return text;
 }
 
-bool IsUtf8(std::string_view text) {
-  while (!text.empty()) {
-    const std::size_t length = Utf8SequenceLength(text);
-    if (length == 0) {
-      return false;
-    }
-    text.remove_prefix(length);
-  }
-  return true;
-}
-
 }  // namespace geraniumspread::config
--- a/src/config/internal/csv_reader.h
+++ b/src/config/internal/csv_reader.h
@@ -35,8 +35,6 @@
 // Removes blanks, tabs, line ends and no-break spaces from both ends.
 std::string_view Trim(std::string_view text);
 
-bool IsUtf8(std::string_view text);
-
 }  // namespace geraniumspread::config
 
 #endif  // CONFIG_INTERNAL_CSV_READER_H_
--- a/src/config/internal/sheet.cc
+++ b/src/config/internal/sheet.cc
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "common/utf8.h"
 #include "config/internal/csv_reader.h"
 #include "config/internal/sheet_columns.h"
 #include "config/internal/sheet_row.h"
